--- /dev/null
+++ b/include/daisyrelay/base.h
@@ -0,0 +1,9 @@
+// Public header of the base library: time, identifiers, the closed list of error kinds, counters and latency
+// distributions.
+#pragma once
+
+#include "daisyrelay/base/counters.h"
+#include "daisyrelay/base/errorkind.h"
+#include "daisyrelay/base/ids.h"
+#include "daisyrelay/base/latencystats.h"
+#include "daisyrelay/base/time.h"
--- /dev/null
+++ b/include/daisyrelay/config/configurationcodec.h
@@ -0,0 +1,22 @@
+// Conversions of a Configuration from and to YAML and JSON. Every rejected input names the key that is wrong.
+#pragma once
+
+#include "daisyrelay/config/configuration.h"
+
+namespace daisyrelay {
+
+/// Parses YAML, of which JSON is a subset.
+/// \param fileName appears in error details as "file:line: key: message".
+/// \returns ErrorKind::InvalidConfig when the text is not a complete, valid configuration.
+Expected<Configuration> parseConfiguration(const std::string &text, const std::string &fileName = "config");
+
+/// Returns the canonical JSON text of \p configuration.
+std::string toJson(const Configuration &configuration);
+
+/// Returns \p configuration as YAML for people.
+std::string toYaml(const Configuration &configuration);
+
+/// Parses "50ms", "5s" or "2m".
+Expected<std::chrono::milliseconds> parseDuration(const std::string &text);
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/limits.h
@@ -0,0 +1,4 @@
+// Public header of the limits library: scarce connections, queues and admission.
+#pragma once
+
+#include "daisyrelay/limits/connectionpool.h"
--- /dev/null
+++ b/include/daisyrelay/load/loadoptions.h
@@ -0,0 +1,32 @@
+// What a load run does; every run is bounded in sessions and time.
+#pragma once
+
+#include "daisyrelay/config.h"
+
+#include <vector>
+
+namespace daisyrelay {
+
+/// One class of work in the mix.
+struct LoadClass {
+    std::string name;
+    bool write = false;
+    bool repeatable = true;
+    std::uint32_t weight = 1; ///< Share of the work.
+    bool ownKey = false; ///< Reads the session's own key and checks it against its last write.
+};
+
+struct LoadOptions {
+    std::vector<Endpoint> entries;
+    std::string service = "rotable-db";
+    std::vector<std::string> groups { "g1", "g2", "g3" };
+    std::vector<LoadClass> classes;
+    std::uint32_t sessions = 8;
+    std::uint32_t ratePerSecond = 0; ///< Open loop at this rate over all sessions; zero for a closed loop.
+    std::chrono::seconds duration { 10 };
+    std::chrono::milliseconds deadline { 1000 };
+    std::uint64_t seed = 1;
+    bool progress = true;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/load/loadreport.h
@@ -0,0 +1,37 @@
+// What a load run saw, as JSON for programs and as a table for people.
+#pragma once
+
+#include "daisyrelay/base.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daisyrelay {
+
+/// The outcome of one class of work.
+struct ClassReport {
+    std::uint64_t succeeded = 0;
+    std::uint64_t byReplica = 0;
+    std::map<std::string, std::uint64_t> refused; ///< By error kind.
+    std::vector<double> latenciesMs; ///< Of the requests that succeeded.
+
+    /// Returns the quantile \p q of the latencies, in milliseconds.
+    [[nodiscard]] double latencyMs(double q) const;
+};
+
+struct LoadReport {
+    double seconds = 0;
+    std::map<std::string, ClassReport> classes;
+    std::map<std::string, double> longestWriteGapMs; ///< By group: longest time between two acknowledged writes.
+    std::uint64_t staleOwnReads = 0; ///< Reads that did not see the session's own write.
+    std::uint64_t lostWrites = 0; ///< Acknowledged writes that were gone at the end.
+    std::uint64_t doubledWrites = 0; ///< Requests marked not repeatable that ran more than once.
+    std::uint64_t transportErrors = 0;
+
+    [[nodiscard]] bool promisesHeld() const;
+    [[nodiscard]] std::string toJson() const;
+    [[nodiscard]] std::string toTable() const;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/net/httpserver.h
@@ -0,0 +1,48 @@
+// An HTTP/1.1 server with keep-alive on one thread.
+#pragma once
+
+#include "daisyrelay/config.h"
+#include "daisyrelay/net/httptypes.h"
+
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+namespace daisyrelay {
+
+/// Limits of one server.
+struct HttpServerOptions {
+    std::size_t largestBody = 1024 * 1024; ///< In bytes; a larger one is answered with 413.
+    std::size_t mostConnections = 100000;
+    Duration acceptDelay {}; ///< Delay before a new connection is read; models a slow login.
+    std::function<void(std::uint64_t connectionId)> onClosed; ///< Called when a connection is gone.
+};
+
+class HttpServer
+{
+public:
+    HttpServer(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// \returns an error if the address can not be bound.
+    Expected<void> listen(const Endpoint &address);
+
+    /// Closes the listening socket; open connections go on.
+    void stopListening();
+
+    /// Closes the connections on which no request is under way, and each other one after its answer.
+    void closeIdle();
+
+    [[nodiscard]] std::size_t connections() const;
+
+    /// Closes one connection, whatever is under way on it.
+    void close(std::uint64_t connectionId);
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/relay.h
@@ -0,0 +1,5 @@
+// Public header of the relay library: the life of a request from the caller to a database and back.
+#pragma once
+
+#include "daisyrelay/relay/relayactions.h"
+#include "daisyrelay/relay/relaycore.h"
--- /dev/null
+++ b/include/daisyrelay/routing.h
@@ -0,0 +1,6 @@
+// Public header of the routing library: which database answers a statement.
+#pragma once
+
+#include "daisyrelay/routing/backendtable.h"
+#include "daisyrelay/routing/leasestate.h"
+#include "daisyrelay/routing/router.h"
--- /dev/null
+++ b/include/daisyrelay/routing/leasestate.h
@@ -0,0 +1,22 @@
+// The lease of this entry, as the decision cores see it.
+#pragma once
+
+#include "daisyrelay/wire.h"
+
+namespace daisyrelay {
+
+/// The last table and the instant up to which it may be relied on.
+struct LeaseState {
+    LeaseTable table;
+    Instant validUntil {};
+
+    [[nodiscard]] bool liveAt(Instant now) const;
+
+    /// Returns the term of \p group, or null if control has not named one.
+    [[nodiscard]] const GroupTerm *termOf(const GroupKey &group) const;
+
+    /// Returns the grant of \p backend, or null.
+    [[nodiscard]] const HomeGrant *grantOf(const BackendId &backend) const;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/session.h
@@ -0,0 +1,5 @@
+// Public header of the session library: the token that carries a session's positions from answer to request.
+#pragma once
+
+#include "daisyrelay/session/sessiontoken.h"
+#include "daisyrelay/session/tokencodec.h"
--- /dev/null
+++ b/include/daisyrelay/session/sessiontoken.h
@@ -0,0 +1,24 @@
+// The positions that a session has seen. All session state travels with the caller, so that a session can move to
+// another proxy at any time.
+#pragma once
+
+#include "daisyrelay/base.h"
+
+#include <map>
+
+namespace daisyrelay {
+
+/// The newest point that a session has written or read, by group.
+struct SessionToken {
+    std::map<GroupKey, LogPoint> points;
+
+    bool operator==(const SessionToken &) const = default;
+
+    /// Raises the point of \p group to \p point; a lower point changes nothing.
+    void raise(const GroupKey &group, const LogPoint &point);
+
+    /// Returns the point of \p group, or zero if the session has not touched it.
+    [[nodiscard]] LogPoint pointOf(const GroupKey &group) const;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/wire.h
@@ -0,0 +1,10 @@
+// Public header of the wire library: the messages between the system's own processes and their codec.
+#pragma once
+
+#include "daisyrelay/wire/backendannouncement.h"
+#include "daisyrelay/wire/codec.h"
+#include "daisyrelay/wire/controlmessages.h"
+#include "daisyrelay/wire/leasemessages.h"
+#include "daisyrelay/wire/peermessage.h"
+#include "daisyrelay/wire/raftmessages.h"
+#include "daisyrelay/wire/statement.h"
--- /dev/null
+++ b/include/daisyrelay/wire/backendannouncement.h
@@ -0,0 +1,36 @@
+// What a backend server announces of itself. It is soft state that every VM keeps until it expires.
+#pragma once
+
+#include "daisyrelay/base.h"
+
+namespace daisyrelay {
+
+enum class BackendRole : std::uint8_t {
+    Primary,
+    Replica,
+};
+
+/// The announcement of one backend server, as it was heard last.
+struct BackendAnnouncement {
+    BackendId id;
+    GroupKey group;
+    ZoneId zone;
+    std::string host;
+    std::uint16_t port = 0;
+    std::uint32_t connections = 0; ///< Most connections that the server accepts from the whole system.
+    std::uint32_t slots = 0; ///< Statements that the server runs at once.
+    BackendRole role = BackendRole::Replica;
+    LogPoint point;
+    bool leaving = false;
+    std::uint64_t version = 0; ///< Order of announcements of one server, given by the VM that heard it.
+
+    bool operator==(const BackendAnnouncement &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, group, zone, host, port, connections, slots, role, point, leaving, version);
+    }
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/wire/codec.h
@@ -0,0 +1,24 @@
+// Encodes messages as bytes and decodes bytes of unknown origin.
+#pragma once
+
+#include "daisyrelay/wire/peermessage.h"
+
+#include <string>
+#include <string_view>
+
+namespace daisyrelay {
+
+/// The largest message that a VM accepts from another, in bytes.
+constexpr std::size_t LargestPeerMessage = 4 * 1024 * 1024;
+
+std::string encodePeerMessage(const PeerMessage &message);
+
+/// \returns ErrorKind::BadRequest if \p bytes are not one whole message.
+Expected<PeerMessage> decodePeerMessage(std::string_view bytes);
+
+std::string encodeControlCommand(const ControlCommand &command);
+
+/// \returns ErrorKind::BadRequest if \p bytes are not one whole command.
+Expected<ControlCommand> decodeControlCommand(std::string_view bytes);
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/wire/leasemessages.h
@@ -0,0 +1,103 @@
+// Messages of the lease between an entry and the control VMs. An entry holds one lease, which covers the group terms
+// and the home grants of the last LeaseTable that it was told of.
+#pragma once
+
+#include "daisyrelay/base.h"
+
+#include <vector>
+
+namespace daisyrelay {
+
+/// Which database may acknowledge writes of a group.
+struct GroupTerm {
+    GroupKey group;
+    Term term = 0;
+    BackendId primary; ///< Empty while the group has no primary.
+    Position startPosition = 0; ///< Where the term began; positions of older terms beyond it are lost.
+
+    bool operator==(const GroupTerm &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(group, term, primary, startPosition);
+    }
+};
+
+/// Makes one entry the home of a database: the only one that uses the leased part of its connections.
+struct HomeGrant {
+    BackendId backend;
+    VmId entry;
+    std::uint32_t leasedConnections = 0; ///< For the home alone, beside its fixed share.
+    std::uint32_t fixedConnections = 0; ///< For each registered entry, also without a live lease.
+
+    bool operator==(const HomeGrant &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(backend, entry, leasedConnections, fixedConnections);
+    }
+};
+
+/// Everything that a lease covers.
+struct LeaseTable {
+    Term leaderTerm = 0; ///< Consensus term of the control VM that made the table.
+    std::uint64_t version = 0; ///< Order of the tables of one leader.
+    std::vector<GroupTerm> terms;
+    std::vector<HomeGrant> homes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(leaderTerm, version, terms, homes);
+    }
+};
+
+/// How one entry sees a backend server.
+struct BackendView {
+    BackendId backend;
+    bool reachable = true;
+    std::uint32_t stalledMs = 0; ///< Age of the oldest unanswered statement.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(backend, reachable, stalledMs);
+    }
+};
+
+/// An entry's heartbeat: renews its lease, confirms the table that it applies, and reports what it sees.
+struct LeaseRequest {
+    VmId entry;
+    ZoneId zone;
+    std::uint64_t nonce = 0; ///< Names the request, so that the grant is counted from its sending.
+    Term tableLeaderTerm = 0;
+    std::uint64_t tableVersion = 0;
+    std::uint64_t configVersion = 0;
+    std::vector<HomeGrant> homes; ///< Grants that the entry holds, for a new leader to learn.
+    std::vector<BackendView> views;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(entry, zone, nonce, tableLeaderTerm, tableVersion, configVersion, homes, views);
+    }
+};
+
+/// The leader's answer. Nonce zero pushes a new table without extending the lease.
+struct LeaseGrant {
+    std::uint64_t nonce = 0;
+    std::uint32_t durationMs = 0;
+    LeaseTable table;
+    std::uint64_t configVersion = 0;
+    std::string configJson; ///< Empty if the entry has this version already.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(nonce, durationMs, table, configVersion, configJson);
+    }
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/config/settings.cpp
@@ -0,0 +1,122 @@
+#include "daisyrelay/config/settings.h"
+
+#include "yamlreader.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace daisyrelay {
+
+static constexpr std::size_t ShortestSecret = 16;
+
+static Endpoint readEndpoint(YamlReader &reader, const YAML::Node &parent, const std::string &key)
+{
+    Endpoint endpoint;
+    const std::string text = reader.requireString(parent, key);
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        reader.fail(parent[key], key, "must be address:port");
+        return endpoint;
+    }
+    endpoint.host = text.substr(0, colon);
+    const char *begin = text.data() + colon + 1;
+    const char *end = text.data() + text.size();
+    const auto [rest, status] = std::from_chars(begin, end, endpoint.port);
+    if (status != std::errc() || rest != end || endpoint.port == 0 || endpoint.host.empty()) {
+        reader.fail(parent[key], key, "must be address:port");
+    }
+    return endpoint;
+}
+
+static void readRoles(YamlReader &reader, const YAML::Node &node, Settings &settings)
+{
+    settings.entry = false;
+    if (!node || !node.IsSequence() || node.size() == 0) {
+        reader.fail(node, "roles", "must list entry, control or both");
+        return;
+    }
+    for (const auto &role : node) {
+        const std::string name = role.IsScalar() ? role.Scalar() : "";
+        if (name == "entry") {
+            settings.entry = true;
+        } else if (name == "control") {
+            settings.control = true;
+        } else {
+            reader.fail(role, "roles", "unknown role '" + name + "'");
+        }
+    }
+}
+
+static void readSeeds(YamlReader &reader, const YAML::Node &node, Settings &settings)
+{
+    if (!node || !node.IsSequence()) {
+        reader.fail(node, "seeds", "must be a list");
+        return;
+    }
+    for (const auto &entry : node) {
+        if (!reader.checkMap(entry, "seeds", { "id", "peer", "control" })) {
+            return;
+        }
+        Seed seed;
+        seed.id = VmId { reader.requireString(entry, "id") };
+        seed.peer = readEndpoint(reader, entry, "peer");
+        seed.control = reader.readBool(entry, "control", false);
+        settings.seeds.push_back(std::move(seed));
+    }
+}
+
+static Settings readSettings(YamlReader &reader, const YAML::Node &root)
+{
+    Settings settings;
+    if (!reader.checkMap(root, "",
+            { "id", "zone", "region", "roles", "http", "peer", "data_folder", "secret", "seeds", "transaction_idle",
+                "drain_limit" })) {
+        return settings;
+    }
+    settings.id = VmId { reader.requireString(root, "id") };
+    settings.zone = ZoneId { reader.requireString(root, "zone") };
+    settings.region = reader.requireString(root, "region");
+    readRoles(reader, root["roles"], settings);
+    settings.http = readEndpoint(reader, root, "http");
+    settings.peer = readEndpoint(reader, root, "peer");
+    settings.dataFolder = reader.readString(root, "data_folder", "");
+    if (settings.control && settings.dataFolder.empty()) {
+        reader.fail(root, "data_folder", "is required for the role control");
+    }
+    settings.secret = reader.requireString(root, "secret");
+    if (settings.secret.size() < ShortestSecret) {
+        reader.fail(root["secret"], "secret", "must have at least 16 characters");
+    }
+    readSeeds(reader, root["seeds"], settings);
+    settings.transactionIdle = reader.readDuration(root, "transaction_idle", settings.transactionIdle);
+    settings.drainLimit = reader.readDuration(root, "drain_limit", settings.drainLimit);
+    return settings;
+}
+
+Expected<Settings> parseSettings(const std::string &text, const std::string &fileName)
+{
+    YamlReader reader(fileName);
+    const YAML::Node root = reader.parse(text);
+    Settings settings;
+    if (reader.ok()) {
+        settings = readSettings(reader, root);
+    }
+    if (!reader.ok()) {
+        return tl::unexpected(Error { ErrorKind::InvalidConfig, reader.error() });
+    }
+    return settings;
+}
+
+Expected<Settings> loadSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return tl::unexpected(Error { ErrorKind::InvalidConfig, fileName + ": can not be read" });
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), fileName);
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/backendio.cpp
@@ -0,0 +1,140 @@
+#include "backendio.h"
+
+#include "protocol.h"
+
+namespace daisyrelay {
+
+static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+static constexpr Duration LongestStatement = std::chrono::minutes(5);
+static constexpr std::chrono::milliseconds WatchWait(200);
+
+BackendIo::BackendIo(Duty &duty, Counters &counters, Hooks hooks)
+    : duty_(duty), counters_(counters), hooks_(std::move(hooks))
+{
+}
+
+void BackendIo::connect(const ConnectBackend &action)
+{
+    auto connection = std::make_shared<HttpConnection>(duty_.context());
+    connections_[action.connection] = connection;
+    connection->connect(action.address, ConnectTimeout, [this, id = action.connection, connection](bool connected) {
+        if (!connections_.contains(id)) {
+            return;
+        }
+        if (!connected) {
+            drop(id);
+            return;
+        }
+        verify(id, connection);
+    });
+}
+
+void BackendIo::verify(ConnectionId id, const std::shared_ptr<HttpConnection> &connection)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/status";
+    connection->request(request, ConnectTimeout, [this, id](std::optional<HttpResponse> response) {
+        if (!connections_.contains(id)) {
+            return;
+        }
+        if (!response || !parseStatusPoint(*response)) {
+            drop(id);
+            return;
+        }
+        hooks_.onOpened(id);
+    });
+}
+
+void BackendIo::drop(ConnectionId id)
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    const std::shared_ptr<HttpConnection> connection = found->second;
+    connections_.erase(found);
+    connection->close();
+    hooks_.onClosed(id);
+}
+
+void BackendIo::disconnect(const DisconnectBackend &action)
+{
+    const auto found = connections_.find(action.connection);
+    if (found == connections_.end()) {
+        return;
+    }
+    const std::shared_ptr<HttpConnection> connection = found->second;
+    connections_.erase(found);
+    connection->close();
+}
+
+void BackendIo::send(const SendStatement &action)
+{
+    const auto found = connections_.find(action.connection);
+    BackendReply lost;
+    lost.connection = action.connection;
+    lost.work = action.work;
+    if (found == connections_.end()) {
+        hooks_.onReply(lost);
+        return;
+    }
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/statements";
+    request.body = backendStatementBody(action.statement);
+    found->second->request(request, LongestStatement,
+        [this, lost, requestId = action.statement.requestId](std::optional<HttpResponse> response) {
+            if (!response) {
+                hooks_.onReply(lost);
+                drop(lost.connection);
+                return;
+            }
+            Expected<BackendReply> reply = parseBackendReply(*response, requestId);
+            if (!reply) {
+                counters_.add("answers.mismatched");
+                hooks_.onReply(lost);
+                drop(lost.connection);
+                return;
+            }
+            reply->connection = lost.connection;
+            reply->work = lost.work;
+            hooks_.onReply(std::move(*reply));
+        });
+}
+
+void BackendIo::watch(const WatchReplica &action)
+{
+    std::shared_ptr<HttpConnection> &connection = watchers_[action.backend];
+    if (connection && connection->isOpen()) {
+        askReplica(action, connection);
+        return;
+    }
+    connection = std::make_shared<HttpConnection>(duty_.context());
+    connection->connect(action.address, ConnectTimeout, [this, action, connection](bool connected) {
+        if (!connected) {
+            hooks_.onReplicaPoint(action.backend, std::nullopt);
+            return;
+        }
+        askReplica(action, connection);
+    });
+}
+
+void BackendIo::askReplica(const WatchReplica &action, const std::shared_ptr<HttpConnection> &connection)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/status?min_position=" + std::to_string(action.minPosition)
+        + "&wait_ms=" + std::to_string(WatchWait.count());
+    connection->request(
+        request, WatchWait + ConnectTimeout, [this, backend = action.backend](std::optional<HttpResponse> response) {
+            if (!response) {
+                hooks_.onReplicaPoint(backend, std::nullopt);
+                return;
+            }
+            const Expected<LogPoint> point = parseStatusPoint(*response);
+            hooks_.onReplicaPoint(backend, point ? std::optional(*point) : std::nullopt);
+        });
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/backendio.h
@@ -0,0 +1,44 @@
+// The connections to backend servers; runs on the backend thread.
+#pragma once
+
+#include "daisyrelay/net/duty.h"
+#include "daisyrelay/net/httpconnection.h"
+#include "daisyrelay/relay.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace daisyrelay {
+
+/// Opens, uses and closes connections as the relay core asks, and reports what comes of it.
+class BackendIo
+{
+public:
+    struct Hooks {
+        std::function<void(ConnectionId)> onOpened;
+        std::function<void(ConnectionId)> onClosed;
+        std::function<void(BackendReply)> onReply;
+        std::function<void(BackendId, std::optional<LogPoint>)> onReplicaPoint;
+    };
+
+    BackendIo(Duty &duty, Counters &counters, Hooks hooks);
+
+    void connect(const ConnectBackend &action);
+    void disconnect(const DisconnectBackend &action);
+    void send(const SendStatement &action);
+    void watch(const WatchReplica &action);
+
+private:
+    void verify(ConnectionId id, const std::shared_ptr<HttpConnection> &connection);
+    void drop(ConnectionId id);
+    void askReplica(const WatchReplica &action, const std::shared_ptr<HttpConnection> &connection);
+
+    Duty &duty_;
+    Counters &counters_;
+    Hooks hooks_;
+    std::map<ConnectionId, std::shared_ptr<HttpConnection>> connections_;
+    std::map<BackendId, std::shared_ptr<HttpConnection>> watchers_;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/callerfront.h
@@ -0,0 +1,76 @@
+// The HTTP duty of a VM: callers, backend servers, operators and the platform.
+#pragma once
+
+#include "daisyrelay/net/duty.h"
+#include "daisyrelay/net/httpserver.h"
+#include "daisyrelay/relay.h"
+
+#include <functional>
+#include <map>
+
+#include <boost/json/object.hpp>
+
+namespace daisyrelay {
+
+/// Lives on the caller thread; parses requests, hands them to the relay duty and sends the answers.
+class CallerFront
+{
+public:
+    /// Each hook hands something to another duty and returns false if its ring is full.
+    struct Hooks {
+        std::function<bool(CallerRequest)> caller;
+        std::function<bool(BackendAnnouncement)> announced;
+        std::function<bool(ConfigChangeRequest)> configChange;
+        std::function<bool(std::function<void(boost::json::object)>)> status; ///< Calls back on this thread.
+        std::function<void()> drain;
+    };
+
+    CallerFront(Duty &duty, const Settings &settings, Counters &counters, Hooks hooks);
+
+    Expected<void> listen();
+    void onAnswer(const AnswerCaller &answer);
+    void onConfigAnswer(const ConfigChangeAnswer &answer);
+    void onConfigInForce(std::uint64_t version, std::string configJson);
+    void setReady(bool ready);
+
+    /// Turns not ready at once.
+    void startDraining();
+
+    /// Closes the listening socket and idle connections.
+    void stopListening();
+
+    [[nodiscard]] std::size_t openCalls() const;
+
+private:
+    struct OpenCall {
+        HttpReply reply;
+        std::string className;
+        Instant startedAt;
+    };
+
+    void handle(const HttpRequest &request, HttpReply reply);
+    void handleStatement(const HttpRequest &request, HttpReply reply);
+    void handleTransactions(const HttpRequest &request, HttpReply reply);
+    void handleBackend(const HttpRequest &request, const HttpReply &reply);
+    void handleConfig(const HttpRequest &request, const HttpReply &reply);
+    void handleStatus(const HttpReply &reply);
+    void submit(Expected<StatementRequest> parsed, const HttpRequest &request, HttpReply reply);
+    void refuse(const Error &error, const std::string &token, const HttpReply &reply);
+    [[nodiscard]] std::string metrics() const;
+
+    Duty &duty_;
+    Settings settings_;
+    Counters &counters_;
+    Hooks hooks_;
+    HttpServer server_;
+    bool ready_ = false;
+    bool draining_ = false;
+    std::uint64_t configVersion_ = 0;
+    std::string configJson_ = "{}";
+    CallId nextCall_ = 1;
+    std::map<CallId, OpenCall> calls_;
+    std::map<std::uint64_t, HttpReply> changes_;
+    std::map<std::string, LatencyStats> latencies_;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/daemon.cpp
@@ -0,0 +1,254 @@
+#include "daisyrelay/net/daemon.h"
+
+#include "backendio.h"
+#include "callerfront.h"
+#include "controlruntime.h"
+#include "entryruntime.h"
+#include "peernetwork.h"
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <future>
+
+#include <boost/asio/signal_set.hpp>
+#include <sodium.h>
+#include <spdlog/spdlog.h>
+
+namespace daisyrelay {
+
+namespace asio = boost::asio;
+
+static constexpr Duration DrainPoll = std::chrono::milliseconds(10);
+static constexpr int ExitStartFailed = 1;
+static constexpr int ExitRequestsCut = 3;
+
+namespace {
+
+/// Owns the duties and carries messages between them.
+class Daemon
+{
+public:
+    explicit Daemon(const Settings &settings);
+
+    int run();
+
+private:
+    CallerFront::Hooks frontHooks();
+    EntryRuntime::Hooks entryHooks();
+    BackendIo::Hooks backendHooks();
+    PeerNetwork::Hooks peerHooks();
+    void performBackend(RelayAction action);
+    void deliver(PeerMessage message);
+    void drain();
+    void pollDrained();
+
+    Settings settings_;
+    Counters counters_;
+    Duty callerDuty_;
+    Duty relayDuty_;
+    Duty backendDuty_;
+    Duty peerDuty_;
+    Duty controlDuty_;
+    BackendIo backends_;
+    PeerNetwork peers_;
+    EntryRuntime entry_;
+    std::unique_ptr<ControlRuntime> control_;
+    CallerFront front_;
+    std::atomic<bool> draining_ { false };
+    Instant drainDeadline_ {};
+    std::promise<int> finished_;
+    bool drained_ = false;
+};
+
+} // namespace
+
+Daemon::Daemon(const Settings &settings)
+    : settings_(settings)
+    , callerDuty_("caller", counters_)
+    , relayDuty_("relay", counters_)
+    , backendDuty_("backend", counters_)
+    , peerDuty_("peer", counters_)
+    , controlDuty_("control", counters_)
+    , backends_(backendDuty_, counters_, backendHooks())
+    , peers_(peerDuty_, settings_, counters_, peerHooks())
+    , entry_(relayDuty_, settings_, counters_, entryHooks())
+    , front_(callerDuty_, settings_, counters_, frontHooks())
+{
+    if (settings_.control) {
+        control_
+            = std::make_unique<ControlRuntime>(controlDuty_, settings_, [this](const VmId &to, PeerPayload payload) {
+                  peerDuty_.tryPost([this, to, payload = std::move(payload)]() { peers_.send(to, payload); });
+              });
+    }
+}
+
+CallerFront::Hooks Daemon::frontHooks()
+{
+    CallerFront::Hooks hooks;
+    hooks.caller = [this](CallerRequest request) {
+        return relayDuty_.tryPost([this, request = std::move(request)]() { entry_.onCaller(request); });
+    };
+    hooks.announced = [this](BackendAnnouncement announcement) {
+        return relayDuty_.tryPost(
+            [this, announcement = std::move(announcement)]() { entry_.onAnnounced(announcement); });
+    };
+    hooks.configChange = [this](ConfigChangeRequest request) {
+        return relayDuty_.tryPost([this, request = std::move(request)]() { entry_.onConfigChange(request); });
+    };
+    hooks.status = [this](std::function<void(boost::json::object)> done) {
+        return relayDuty_.tryPost([this, done = std::move(done)]() {
+            callerDuty_.tryPost([done, status = entry_.status()]() { done(status); });
+        });
+    };
+    hooks.drain = [this]() { drain(); };
+    return hooks;
+}
+
+EntryRuntime::Hooks Daemon::entryHooks()
+{
+    EntryRuntime::Hooks hooks;
+    hooks.answer = [this](AnswerCaller answer) {
+        callerDuty_.tryPost([this, answer = std::move(answer)]() { front_.onAnswer(answer); });
+    };
+    hooks.sendPeer = [this](const VmId &to, PeerPayload payload) {
+        peerDuty_.tryPost([this, to, payload = std::move(payload)]() { peers_.send(to, payload); });
+    };
+    hooks.backend = [this](RelayAction action) {
+        backendDuty_.tryPost([this, action = std::move(action)]() { performBackend(action); });
+    };
+    hooks.configAnswer = [this](ConfigChangeAnswer answer) {
+        callerDuty_.tryPost([this, answer = std::move(answer)]() { front_.onConfigAnswer(answer); });
+    };
+    hooks.configInForce = [this](std::uint64_t version, std::string text) {
+        callerDuty_.tryPost([this, version, text = std::move(text)]() { front_.onConfigInForce(version, text); });
+    };
+    hooks.ready = [this](bool ready) { callerDuty_.tryPost([this, ready]() { front_.setReady(ready); }); };
+    return hooks;
+}
+
+BackendIo::Hooks Daemon::backendHooks()
+{
+    BackendIo::Hooks hooks;
+    hooks.onOpened = [this](ConnectionId id) { relayDuty_.tryPost([this, id]() { entry_.onConnectionOpened(id); }); };
+    hooks.onClosed = [this](ConnectionId id) { relayDuty_.tryPost([this, id]() { entry_.onConnectionClosed(id); }); };
+    hooks.onReply = [this](BackendReply reply) {
+        relayDuty_.tryPost([this, reply = std::move(reply)]() { entry_.onBackendReply(reply); });
+    };
+    hooks.onReplicaPoint = [this](const BackendId &backend, std::optional<LogPoint> point) {
+        relayDuty_.tryPost([this, backend, point]() { entry_.onReplicaPoint(backend, point); });
+    };
+    return hooks;
+}
+
+PeerNetwork::Hooks Daemon::peerHooks()
+{
+    PeerNetwork::Hooks hooks;
+    hooks.onMessage = [this](PeerMessage message) { deliver(std::move(message)); };
+    hooks.onUnreachable
+        = [this](const VmId &vm) { relayDuty_.tryPost([this, vm]() { entry_.onPeerUnreachable(vm); }); };
+    return hooks;
+}
+
+void Daemon::performBackend(RelayAction action)
+{
+    if (const auto *connect = std::get_if<ConnectBackend>(&action); connect != nullptr) {
+        backends_.connect(*connect);
+    } else if (const auto *disconnect = std::get_if<DisconnectBackend>(&action); disconnect != nullptr) {
+        backends_.disconnect(*disconnect);
+    } else if (const auto *send = std::get_if<SendStatement>(&action); send != nullptr) {
+        backends_.send(*send);
+    } else if (const auto *watch = std::get_if<WatchReplica>(&action); watch != nullptr) {
+        backends_.watch(*watch);
+    }
+}
+
+void Daemon::deliver(PeerMessage message)
+{
+    const PeerPayload &payload = message.payload;
+    const bool forControl = std::holds_alternative<RaftMessage>(payload)
+        || std::holds_alternative<LeaseRequest>(payload) || std::holds_alternative<ConfigChangeRequest>(payload)
+        || std::holds_alternative<BackendAnnouncement>(payload);
+    if (forControl && control_) {
+        controlDuty_.tryPost([this, message]() { control_->onMessage(message); });
+    }
+    if (!forControl || std::holds_alternative<BackendAnnouncement>(payload)) {
+        relayDuty_.tryPost([this, message = std::move(message)]() { entry_.onMessage(message); });
+    }
+}
+
+void Daemon::drain()
+{
+    if (draining_.exchange(true)) {
+        return;
+    }
+    spdlog::info("draining");
+    callerDuty_.tryPost([this]() {
+        front_.startDraining();
+        drainDeadline_ = Clock::now() + settings_.drainLimit;
+        callerDuty_.every(DrainPoll, [this]() { pollDrained(); });
+    });
+    relayDuty_.tryPost([this]() { entry_.drain(); });
+}
+
+void Daemon::pollDrained()
+{
+    if (drained_) {
+        return;
+    }
+    relayDuty_.tryPost([this]() {
+        const bool idle = entry_.idle();
+        callerDuty_.tryPost([this, idle]() {
+            const bool done = idle && front_.openCalls() == 0;
+            if (drained_ || (!done && Clock::now() < drainDeadline_)) {
+                return;
+            }
+            drained_ = true;
+            front_.stopListening();
+            finished_.set_value(done ? 0 : ExitRequestsCut);
+        });
+    });
+}
+
+int Daemon::run()
+{
+    for (const Expected<void> &listening : { front_.listen(), peers_.listen() }) {
+        if (!listening) {
+            spdlog::error("{}", listening.error().detail);
+            return ExitStartFailed;
+        }
+    }
+    if (control_) {
+        control_->start();
+    }
+    entry_.start();
+    asio::signal_set signals(callerDuty_.context(), SIGTERM, SIGINT);
+    signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            drain();
+        }
+    });
+    const std::array duties { &callerDuty_, &relayDuty_, &backendDuty_, &peerDuty_, &controlDuty_ };
+    for (Duty *duty : duties) {
+        duty->start();
+    }
+    spdlog::info("{} serves on {}:{}", settings_.id.value, settings_.http.host, settings_.http.port);
+    const int code = finished_.get_future().get();
+    for (Duty *duty : duties) {
+        duty->stop();
+    }
+    spdlog::info("stopped");
+    return code;
+}
+
+int runDaemon(const Settings &settings)
+{
+    if (sodium_init() < 0) {
+        spdlog::error("libsodium can not be initialized");
+        return ExitStartFailed;
+    }
+    Daemon daemon(settings);
+    return daemon.run();
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/entryruntime.cpp
@@ -0,0 +1,251 @@
+#include "entryruntime.h"
+
+#include <random>
+
+#include <boost/json.hpp>
+#include <spdlog/spdlog.h>
+
+namespace daisyrelay {
+
+namespace json = boost::json;
+
+static constexpr Duration TickInterval = std::chrono::milliseconds(10);
+static constexpr Duration ChangeDeadline = std::chrono::seconds(5);
+static constexpr Duration ChangeRetry = std::chrono::milliseconds(100);
+
+static std::vector<VmId> controlVmsOf(const Settings &settings)
+{
+    std::vector<VmId> result;
+    for (const Seed &seed : settings.seeds) {
+        if (seed.control) {
+            result.push_back(seed.id);
+        }
+    }
+    return result;
+}
+
+static RelayOptions relayOptions(const Settings &settings)
+{
+    RelayOptions options;
+    options.vm = settings.id;
+    options.zone = settings.zone;
+    options.secret = settings.secret;
+    options.bootId = std::to_string(std::random_device()());
+    options.transactionIdle = settings.transactionIdle;
+    return options;
+}
+
+EntryRuntime::EntryRuntime(Duty &duty, const Settings &settings, Counters &counters, Hooks hooks)
+    : duty_(duty)
+    , settings_(settings)
+    , hooks_(std::move(hooks))
+    , controlVms_(controlVmsOf(settings))
+    , relay_(relayOptions(settings), counters)
+    , lease_(settings.id, settings.zone, controlVms_)
+{
+}
+
+void EntryRuntime::start()
+{
+    duty_.every(TickInterval, [this]() { tick(); });
+}
+
+void EntryRuntime::tick()
+{
+    const Instant now = Clock::now();
+    relay_.tick(now);
+    renewLease();
+    for (auto &[id, pending] : changes_) {
+        if (pending.retryAt <= now) {
+            sendChange(pending);
+        }
+    }
+    std::erase_if(changes_, [this, now](const auto &entry) {
+        if (entry.second.deadline > now) {
+            return false;
+        }
+        hooks_.configAnswer(
+            { entry.first, false, ErrorKind::ChangeOutcomeUnknown, "no quorum of control VMs answered", 0 });
+        return true;
+    });
+    hooks_.ready(relay_.configVersion() > 0);
+    flush();
+}
+
+void EntryRuntime::renewLease()
+{
+    const Instant now = Clock::now();
+    const LeaseHolder::Renewal renewal = lease_.tick(now, relay_.views(now), relay_.configVersion());
+    for (const VmId &to : renewal.to) {
+        hooks_.sendPeer(to, renewal.request);
+    }
+}
+
+void EntryRuntime::onCaller(const CallerRequest &request)
+{
+    relay_.onCallerRequest(Clock::now(), request);
+    flush();
+}
+
+void EntryRuntime::onMessage(const PeerMessage &message)
+{
+    const Instant now = Clock::now();
+    if (const auto *forward = std::get_if<ForwardRequest>(&message.payload); forward != nullptr) {
+        relay_.onForwardRequest(now, message.from, *forward);
+    } else if (const auto *answer = std::get_if<ForwardAnswer>(&message.payload); answer != nullptr) {
+        relay_.onForwardAnswer(now, message.from, *answer);
+    } else if (const auto *announced = std::get_if<BackendAnnouncement>(&message.payload); announced != nullptr) {
+        if (directory_.merge(now, *announced)) {
+            relay_.onAnnouncement(now, *announced);
+        }
+    } else if (const auto *grant = std::get_if<LeaseGrant>(&message.payload); grant != nullptr) {
+        onGrant(message.from, *grant);
+    } else if (const auto *change = std::get_if<ConfigChangeAnswer>(&message.payload); change != nullptr) {
+        onConfigAnswer(*change);
+    }
+    flush();
+}
+
+void EntryRuntime::onGrant(const VmId &from, const LeaseGrant &grant)
+{
+    const Instant now = Clock::now();
+    if (lease_.onGrant(now, from, grant)) {
+        relay_.onLease(now, lease_.state());
+        renewLease();
+    }
+    if (grant.configVersion <= relay_.configVersion() || grant.configJson.empty()) {
+        return;
+    }
+    const Expected<Configuration> configuration = parseConfiguration(grant.configJson);
+    if (!configuration) {
+        spdlog::error("control sent a configuration that can not be read: {}", configuration.error().detail);
+        return;
+    }
+    relay_.onConfiguration(now, grant.configVersion, *configuration);
+    hooks_.configInForce(grant.configVersion, grant.configJson);
+    spdlog::info("configuration {} is in force", grant.configVersion);
+}
+
+void EntryRuntime::onConfigChange(const ConfigChangeRequest &request)
+{
+    const Instant now = Clock::now();
+    PendingChange &pending = changes_[request.requestId];
+    pending = { request, 0, now + ChangeDeadline, now };
+    sendChange(pending);
+    flush();
+}
+
+void EntryRuntime::sendChange(PendingChange &pending)
+{
+    pending.retryAt = Clock::now() + ChangeRetry;
+    if (!controlVms_.empty()) {
+        hooks_.sendPeer(controlVms_[pending.nextControl++ % controlVms_.size()], pending.request);
+    }
+}
+
+void EntryRuntime::onConfigAnswer(const ConfigChangeAnswer &answer)
+{
+    const auto found = changes_.find(answer.requestId);
+    if (found == changes_.end()) {
+        return;
+    }
+    if (!answer.accepted && answer.error == ErrorKind::NoQuorum) {
+        return;
+    }
+    hooks_.configAnswer(answer);
+    changes_.erase(found);
+}
+
+void EntryRuntime::onPeerUnreachable(const VmId &vm)
+{
+    relay_.onPeerUnreachable(Clock::now(), vm);
+    flush();
+}
+
+void EntryRuntime::onConnectionOpened(ConnectionId connection)
+{
+    relay_.onConnectionOpened(Clock::now(), connection);
+    flush();
+}
+
+void EntryRuntime::onConnectionClosed(ConnectionId connection)
+{
+    relay_.onConnectionClosed(Clock::now(), connection);
+    flush();
+}
+
+void EntryRuntime::onBackendReply(const BackendReply &reply)
+{
+    relay_.onBackendReply(Clock::now(), reply);
+    flush();
+}
+
+void EntryRuntime::onReplicaPoint(const BackendId &backend, std::optional<LogPoint> point)
+{
+    relay_.onReplicaPoint(Clock::now(), backend, point);
+    flush();
+}
+
+void EntryRuntime::onAnnounced(const BackendAnnouncement &announcement)
+{
+    const Instant now = Clock::now();
+    const BackendAnnouncement versioned = directory_.hear(now, announcement);
+    relay_.onAnnouncement(now, versioned);
+    for (const Seed &seed : settings_.seeds) {
+        if (seed.id != settings_.id || settings_.control) {
+            hooks_.sendPeer(seed.id, versioned);
+        }
+    }
+    flush();
+}
+
+void EntryRuntime::drain()
+{
+    relay_.drain(Clock::now());
+    flush();
+}
+
+bool EntryRuntime::idle() const
+{
+    return relay_.idle();
+}
+
+void EntryRuntime::flush()
+{
+    for (RelayAction &action : relay_.takeActions()) {
+        if (auto *answer = std::get_if<AnswerCaller>(&action); answer != nullptr) {
+            hooks_.answer(std::move(*answer));
+        } else if (auto *send = std::get_if<SendToPeer>(&action); send != nullptr) {
+            hooks_.sendPeer(send->to, std::move(send->payload));
+        } else {
+            hooks_.backend(std::move(action));
+        }
+    }
+}
+
+json::object EntryRuntime::status() const
+{
+    const Instant now = Clock::now();
+    json::array groups;
+    for (const GroupTerm &term : relay_.lease().table.terms) {
+        groups.emplace_back(json::object { { "service", term.group.service.value }, { "group", term.group.group.value },
+            { "primary", term.primary.value }, { "term", term.term }, { "start_position", term.startPosition } });
+    }
+    json::array backends;
+    for (const BackendState *state : relay_.backends().all()) {
+        const HomeGrant *grant = relay_.lease().grantOf(state->announcement.id);
+        const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(
+            relay_.backends().staleness(now, state->announcement.id));
+        backends.emplace_back(json::object { { "id", state->announcement.id.value },
+            { "service", state->announcement.group.service.value }, { "group", state->announcement.group.group.value },
+            { "zone", state->announcement.zone.value },
+            { "role", state->announcement.role == BackendRole::Primary ? "primary" : "replica" },
+            { "term", state->point.term }, { "position", state->point.position }, { "lag_ms", lag.count() },
+            { "leaving", state->announcement.leaving }, { "home", grant == nullptr ? "" : grant->entry.value } });
+    }
+    return { { "vm", settings_.id.value }, { "zone", settings_.zone.value },
+        { "lease_live", relay_.lease().liveAt(now) }, { "config_version", relay_.configVersion() },
+        { "groups", std::move(groups) }, { "backends", std::move(backends) } };
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/httpconnection.cpp
@@ -0,0 +1,147 @@
+#include "daisyrelay/net/httpconnection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace daisyrelay {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+static constexpr unsigned HttpVersion = 11;
+
+struct HttpConnection::State {
+    explicit State(asio::io_context &context) : stream(context)
+    {
+    }
+
+    void close()
+    {
+        open = false;
+        ErrorCode ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        stream.close();
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    http::response<http::string_body> response;
+    bool open = false;
+};
+
+HttpConnection::HttpConnection(asio::io_context &context) : state_(std::make_shared<State>(context))
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+    close();
+}
+
+void HttpConnection::connect(const Endpoint &address, Duration timeout, Connected done)
+{
+    ErrorCode error;
+    const asio::ip::address ip = asio::ip::make_address(address.host, error);
+    if (error) {
+        asio::post(state_->stream.get_executor(), [done = std::move(done)]() { done(false); });
+        return;
+    }
+    state_->stream.expires_after(timeout);
+    state_->stream.async_connect(
+        tcp::endpoint(ip, address.port), [state = state_, done = std::move(done)](const ErrorCode &failure) {
+            if (!failure) {
+                ErrorCode ignored;
+                state->stream.socket().set_option(tcp::no_delay(true), ignored);
+                state->open = true;
+            }
+            done(!failure);
+        });
+}
+
+static http::request<http::string_body> toMessage(const HttpRequest &request)
+{
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target, HttpVersion);
+    message.set(http::field::host, "daisyrelay");
+    message.keep_alive(true);
+    const auto set = [&message](const char *name, const std::string &value) {
+        if (!value.empty()) {
+            message.set(name, value);
+        }
+    };
+    set("Daisyrelay-Session", request.sessionToken);
+    set("Idempotency-Key", request.idempotencyKey);
+    set("If-Match", request.ifMatch);
+    set("Daisyrelay-Change-Id", request.changeId);
+    if (!request.body.empty()) {
+        message.set(http::field::content_type, "application/json");
+        message.body() = request.body;
+    }
+    message.prepare_payload();
+    return message;
+}
+
+void HttpConnection::request(const HttpRequest &request, Duration timeout, Answered done)
+{
+    state_->request = toMessage(request);
+    state_->response = {};
+    state_->stream.expires_after(timeout);
+    http::async_write(state_->stream, state_->request,
+        [state = state_, done = std::move(done)](const ErrorCode &error, std::size_t) mutable {
+            if (error) {
+                state->close();
+                done(std::nullopt);
+                return;
+            }
+            http::async_read(state->stream, state->buffer, state->response,
+                [state, done = std::move(done)](const ErrorCode &failure, std::size_t) {
+                    if (failure) {
+                        state->close();
+                        done(std::nullopt);
+                        return;
+                    }
+                    state->stream.expires_never();
+                    HttpResponse response;
+                    response.status = static_cast<int>(state->response.result_int());
+                    response.contentType = std::string(state->response[http::field::content_type]);
+                    response.sessionToken = std::string(state->response["Daisyrelay-Session"]);
+                    response.body = std::move(state->response.body());
+                    if (!state->response.keep_alive()) {
+                        state->close();
+                    }
+                    done(std::move(response));
+                });
+        });
+}
+
+void HttpConnection::close()
+{
+    state_->close();
+}
+
+bool HttpConnection::isOpen() const
+{
+    return state_->open;
+}
+
+std::optional<HttpResponse> requestOnce(const Endpoint &address, const HttpRequest &request, Duration timeout)
+{
+    asio::io_context context(1);
+    HttpConnection connection(context);
+    std::optional<HttpResponse> result;
+    connection.connect(address, timeout, [&](bool connected) {
+        if (connected) {
+            connection.request(
+                request, timeout, [&result](std::optional<HttpResponse> response) { result = std::move(response); });
+        }
+    });
+    context.run();
+    return result;
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/net/httpserver.cpp
@@ -0,0 +1,257 @@
+#include "daisyrelay/net/httpserver.h"
+
+#include <map>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace daisyrelay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+class HttpSession;
+
+} // namespace
+
+struct HttpServer::State {
+    State(asio::io_context &io, HttpServerOptions serverOptions, HttpHandler requestHandler)
+        : context(io), options(std::move(serverOptions)), handler(std::move(requestHandler)), acceptor(io)
+    {
+    }
+
+    asio::io_context &context;
+    HttpServerOptions options;
+    HttpHandler handler;
+    tcp::acceptor acceptor;
+    bool closing = false;
+    std::uint64_t nextConnection = 1;
+    std::map<std::uint64_t, std::weak_ptr<HttpSession>> sessions;
+};
+
+namespace {
+
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    template <typename ServerState>
+    HttpSession(tcp::socket socket, std::uint64_t id, const std::shared_ptr<ServerState> &server)
+        : socket_(std::move(socket))
+        , id_(id)
+        , handler_(
+              [server](HttpRequest request, HttpReply reply) { server->handler(std::move(request), std::move(reply)); })
+        , isClosing_([server]() { return server->closing; })
+        , onGone_([server, id]() {
+            server->sessions.erase(id);
+            if (server->options.onClosed) {
+                server->options.onClosed(id);
+            }
+        })
+        , largestBody_(server->options.largestBody)
+    {
+    }
+
+    void start(Duration delay)
+    {
+        if (delay == Duration::zero()) {
+            read();
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(), delay);
+        timer->async_wait([self = shared_from_this(), timer](const ErrorCode &) { self->read(); });
+    }
+
+    void closeIfIdle()
+    {
+        if (!busy_) {
+            close();
+        }
+    }
+
+    void close()
+    {
+        ErrorCode ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
+private:
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(largestBody_);
+        http::async_read(socket_, buffer_, *parser_,
+            [self = shared_from_this()](const ErrorCode &error, std::size_t) { self->onRead(error); });
+    }
+
+    void onRead(const ErrorCode &error)
+    {
+        if (error == http::error::body_limit) {
+            keepAlive_ = false;
+            write({ answerFor(ErrorKind::BodyTooLarge).httpStatus, "application/problem+json",
+                R"({"title":"body-too-large","kind":"body-too-large","status":413,"ran":"no"})", "", 0 });
+            return;
+        }
+        if (error) {
+            gone();
+            return;
+        }
+        busy_ = true;
+        http::request<http::string_body> message = parser_->release();
+        keepAlive_ = message.keep_alive();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.sessionToken = std::string(message["Daisyrelay-Session"]);
+        request.idempotencyKey = std::string(message["Idempotency-Key"]);
+        request.ifMatch = std::string(message[http::field::if_match]);
+        request.changeId = std::string(message["Daisyrelay-Change-Id"]);
+        request.body = std::move(message.body());
+        request.connectionId = id_;
+        handler_(std::move(request),
+            [self = shared_from_this()](HttpResponse response) { self->write(std::move(response)); });
+    }
+
+    void write(HttpResponse response)
+    {
+        keepAlive_ = keepAlive_ && !isClosing_();
+        message_ = std::make_unique<http::response<http::string_body>>(
+            static_cast<http::status>(response.status), HttpVersion);
+        message_->keep_alive(keepAlive_);
+        message_->set(http::field::content_type, response.contentType);
+        if (!response.sessionToken.empty()) {
+            message_->set("Daisyrelay-Session", response.sessionToken);
+        }
+        if (response.retryAfterMs > 0) {
+            constexpr std::int64_t MsPerSecond = 1000;
+            message_->set(
+                http::field::retry_after, std::to_string((response.retryAfterMs + MsPerSecond - 1) / MsPerSecond));
+        }
+        message_->body() = std::move(response.body);
+        message_->prepare_payload();
+        http::async_write(socket_, *message_,
+            [self = shared_from_this()](const ErrorCode &error, std::size_t) { self->onWritten(error); });
+    }
+
+    void onWritten(const ErrorCode &error)
+    {
+        message_.reset();
+        busy_ = false;
+        if (error || !keepAlive_ || isClosing_()) {
+            close();
+            gone();
+            return;
+        }
+        read();
+    }
+
+    void gone()
+    {
+        if (onGone_) {
+            std::exchange(onGone_, nullptr)();
+        }
+    }
+
+    static constexpr unsigned HttpVersion = 11;
+
+    tcp::socket socket_;
+    std::uint64_t id_;
+    HttpHandler handler_;
+    std::function<bool()> isClosing_;
+    std::function<void()> onGone_;
+    std::size_t largestBody_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::unique_ptr<http::response<http::string_body>> message_;
+    bool keepAlive_ = true;
+    bool busy_ = false;
+};
+
+template <typename ServerState>
+void acceptNext(const std::shared_ptr<ServerState> &server)
+{
+    server->acceptor.async_accept([server](const ErrorCode &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !server->acceptor.is_open()) {
+            return;
+        }
+        if (!error && server->sessions.size() < server->options.mostConnections) {
+            ErrorCode ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            const std::uint64_t id = server->nextConnection++;
+            auto session = std::make_shared<HttpSession>(std::move(socket), id, server);
+            server->sessions.emplace(id, session);
+            session->start(server->options.acceptDelay);
+        }
+        acceptNext(server);
+    });
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context &context, HttpServerOptions options, HttpHandler handler)
+    : state_(std::make_shared<State>(context, std::move(options), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopListening();
+}
+
+Expected<void> HttpServer::listen(const Endpoint &address)
+{
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        state_->acceptor.open(endpoint.protocol());
+        state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        state_->acceptor.bind(endpoint);
+        state_->acceptor.listen(asio::socket_base::max_listen_connections);
+    } catch (const boost::system::system_error &error) {
+        return tl::unexpected(Error { ErrorKind::InvalidConfig,
+            "can not listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.code().message() });
+    }
+    acceptNext(state_);
+    return {};
+}
+
+void HttpServer::stopListening()
+{
+    ErrorCode ignored;
+    state_->acceptor.close(ignored);
+}
+
+void HttpServer::closeIdle()
+{
+    state_->closing = true;
+    const auto sessions = state_->sessions;
+    for (const auto &[id, weak] : sessions) {
+        if (const std::shared_ptr<HttpSession> session = weak.lock(); session) {
+            session->closeIfIdle();
+        }
+    }
+}
+
+std::size_t HttpServer::connections() const
+{
+    return state_->sessions.size();
+}
+
+void HttpServer::close(std::uint64_t connectionId)
+{
+    const auto found = state_->sessions.find(connectionId);
+    if (found == state_->sessions.end()) {
+        return;
+    }
+    if (const std::shared_ptr<HttpSession> session = found->second.lock(); session) {
+        session->close();
+    }
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/storage/raftstorage.cpp
@@ -0,0 +1,1 @@
+#include "daisyrelay/storage/raftstorage.h"
--- /dev/null
+++ b/unittests/relay/relaycoretest.cpp
@@ -0,0 +1,21 @@
+#include "daisyrelay/relay.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+
+TEST_GROUP(RelayCore)
+{
+    Counters counters;
+    RelayCore core { { VmId { "vm1" }, ZoneId { "coanda" }, "one secret of the system", "1" }, counters };
+    Instant now {};
+};
+
+TEST(RelayCore, AnUnknownClassIsRefusedAndCounted)
+{
+    core.onCallerRequest(now, { 1, {}, "" });
+    const std::vector<RelayAction> actions = core.takeActions();
+    CHECK_EQUAL(1, actions.size());
+    CHECK(std::get<AnswerCaller>(actions.front()).answer.error().kind == ErrorKind::UnknownClass);
+    CHECK_EQUAL(1, counters.value("refused.unknown-class"));
+}
