--- a/include/daisyrelay/control/controlcore.h
+++ b/include/daisyrelay/control/controlcore.h
@@ -30,6 +30,13 @@
     void onLeadership(Instant now, bool leading, Term leaderTerm);
 
     void onCommitted(Instant now, const LogEntry &entry);
+
+    /// Replaces the replicated state by that of a snapshot. \returns an error if \p bytes are damaged.
+    Expected<void> restoreSnapshot(Instant now, std::string_view bytes);
+
+    /// Returns the replicated state as it is after the entries committed so far.
+    [[nodiscard]] std::string encodeSnapshot() const;
+
     void onLeaseRequest(Instant now, const LeaseRequest &request);
     void onAnnouncement(Instant now, const BackendAnnouncement &announcement);
     void onConfigChange(Instant now, const VmId &from, const ConfigChangeRequest &request);
--- a/include/daisyrelay/wire/controlmessages.h
+++ b/include/daisyrelay/wire/controlmessages.h
@@ -12,11 +12,13 @@
     std::uint64_t expectedVersion = 0;
     std::string changeId;
     std::string configJson;
+    VmId through; ///< The VM that the operator sent the change to; set by the leader.
+    std::string summary; ///< What changes, for people; set by the leader.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(expectedVersion, changeId, configJson);
+        archive(expectedVersion, changeId, configJson, through, summary);
     }
 };
 
@@ -58,7 +60,34 @@
     }
 };
 
+/// Registers an entry before its first lease, or removes one that is gone for good.
+struct EntryRegistration {
+    VmId entry;
+    ZoneId zone;
+    bool registered = true;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(entry, zone, registered);
+    }
+};
+
+/// Changes or settles the member databases of a group; applies only on top of the generation before its own.
+struct GroupMembersCommand {
+    GroupKey group;
+    std::uint64_t generation = 0;
+    std::vector<BackendId> members; ///< Ordered. Unused when settling.
+    bool settles = false; ///< Ends the transition from the previous members to the current ones.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(group, generation, members, settles);
+    }
+};
+
 /// A command of the replicated log.
-using ControlCommand = std::variant<ConfigChange, GroupTermCommand>;
+using ControlCommand = std::variant<ConfigChange, GroupTermCommand, EntryRegistration, GroupMembersCommand>;
 
 } // namespace daisyrelay
--- a/include/daisyrelay/wire/leasemessages.h
+++ b/include/daisyrelay/wire/leasemessages.h
@@ -8,19 +8,28 @@
 
 namespace daisyrelay {
 
+/// How many beginnings of terms a group remembers.
+constexpr std::size_t MostTermStarts = 16;
+
 /// Which database may acknowledge writes of a group.
 struct GroupTerm {
     GroupKey group;
     Term term = 0;
     BackendId primary; ///< Empty while the group has no primary.
-    Position startPosition = 0; ///< Where the term began; positions of older terms beyond it are lost.
+    Position startPosition = 0; ///< Where the term began; positions of older terms from there on are lost.
+    std::vector<LogPoint> starts; ///< Where each of the latest terms began, oldest first; at most MostTermStarts.
+    std::vector<BackendId> members; ///< The databases whose copy counts for an acknowledgment, ordered.
 
     bool operator==(const GroupTerm &) const = default;
 
+    /// Tells whether what a session saw at \p point is gone from the current term. A point of a term that is older
+    /// than the history counts as lost, since a reader must never be served older data silently.
+    [[nodiscard]] bool isLost(const LogPoint &point) const;
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(group, term, primary, startPosition);
+        archive(group, term, primary, startPosition, starts, members);
     }
 };
 
--- a/lib/control/controlcore.cpp
+++ b/lib/control/controlcore.cpp
@@ -35,7 +35,7 @@
         return;
     }
     if (const auto *change = std::get_if<ConfigChange>(&*command); change != nullptr) {
-        const ConfigOutcome outcome = state_.apply(*change);
+        const ConfigOutcome outcome = state_.apply(*change, entry.index);
         if (const auto waiting = waitingChanges_.find(change->changeId); waiting != waitingChanges_.end()) {
             const auto &[vm, requestId] = waiting->second;
             actions_.emplace_back(ControlSend {
@@ -47,9 +47,36 @@
         }
         return;
     }
-    if (state_.apply(std::get<GroupTermCommand>(*command)) && leading_) {
+    const bool changed = std::visit(
+        [this](const auto &other) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(other)>, ConfigChange>) {
+                return false;
+            } else {
+                return state_.apply(other);
+            }
+        },
+        *command);
+    if (changed && leading_) {
+        rebuildTable(now);
+    }
+}
+
+Expected<void> ControlCore::restoreSnapshot(Instant now, std::string_view bytes)
+{
+    Expected<ControlState> restored = ControlState::decodeSnapshot(bytes);
+    if (!restored) {
+        return tl::unexpected(restored.error());
+    }
+    state_ = std::move(*restored);
+    if (leading_) {
         rebuildTable(now);
     }
+    return {};
+}
+
+std::string ControlCore::encodeSnapshot() const
+{
+    return state_.encodeSnapshot();
 }
 
 void ControlCore::onLeaseRequest(Instant now, const LeaseRequest &request)
--- a/lib/control/controlstate.cpp
+++ b/lib/control/controlstate.cpp
@@ -3,8 +3,10 @@
 namespace daisyrelay {
 
 static constexpr std::size_t RememberedChanges = 10000;
+static constexpr std::size_t LongestHistory = 200;
+static constexpr std::size_t LongestSummary = 512;
 
-ConfigOutcome ControlState::apply(const ConfigChange &change)
+ConfigOutcome ControlState::apply(const ConfigChange &change, std::uint64_t logIndex)
 {
     if (const auto known = changes_.find(change.changeId); known != changes_.end()) {
         return known->second;
@@ -14,24 +16,74 @@
         ++configVersion_;
         configJson_ = change.configJson;
         outcome = { true, ErrorKind::Internal, configVersion_ };
+        history_.push_back(
+            { configVersion_, change.changeId, logIndex, change.through, change.summary.substr(0, LongestSummary) });
+        if (history_.size() > LongestHistory) {
+            history_.pop_front();
+        }
     }
+    remember(change, outcome);
+    return outcome;
+}
+
+void ControlState::remember(const ConfigChange &change, const ConfigOutcome &outcome)
+{
     changes_.emplace(change.changeId, outcome);
-    changeOrder_.push_back(change.changeId);
-    if (changeOrder_.size() > RememberedChanges) {
-        changes_.erase(changeOrder_.front());
-        changeOrder_.pop_front();
+    std::deque<std::string> &order = outcome.accepted ? acceptedOrder_ : refusedOrder_;
+    order.push_back(change.changeId);
+    if (order.size() > RememberedChanges) {
+        changes_.erase(order.front());
+        order.pop_front();
     }
-    return outcome;
 }
 
 bool ControlState::apply(const GroupTermCommand &command)
 {
-    GroupTerm &known = terms_[command.term.group];
-    const bool newer = command.term.term > known.term || (command.term.term == known.term && known.primary.empty());
+    const GroupTerm &next = command.term;
+    GroupTerm &known = terms_[next.group];
+    const bool newer = next.term > known.term || (next.term == known.term && known.primary.empty());
     if (!newer) {
         return false;
     }
-    known = command.term;
+    known.group = next.group;
+    known.term = next.term;
+    known.primary = next.primary;
+    known.startPosition = next.startPosition;
+    if (!next.primary.empty()) {
+        known.starts.push_back({ next.term, next.startPosition });
+        if (known.starts.size() > MostTermStarts) {
+            known.starts.erase(known.starts.begin());
+        }
+    }
+    return true;
+}
+
+bool ControlState::apply(const EntryRegistration &command)
+{
+    if (!command.registered) {
+        return entries_.erase(command.entry) > 0;
+    }
+    ZoneId &zone = entries_[command.entry];
+    if (zone == command.zone) {
+        return false;
+    }
+    zone = command.zone;
+    return true;
+}
+
+bool ControlState::apply(const GroupMembersCommand &command)
+{
+    GroupMembers &known = members_[command.group];
+    if (command.generation != known.generation + 1 || command.settles == known.previous.empty()) {
+        // A first set of members has nothing before it and is settled at once.
+        return false;
+    }
+    known.generation = command.generation;
+    if (command.settles) {
+        known.previous.clear();
+        return true;
+    }
+    known.previous = std::exchange(known.members, command.members);
     return true;
 }
 
@@ -45,9 +97,30 @@
     return configJson_;
 }
 
+std::optional<ConfigOutcome> ControlState::outcomeOf(const std::string &changeId) const
+{
+    const auto known = changes_.find(changeId);
+    return known == changes_.end() ? std::nullopt : std::optional(known->second);
+}
+
+const std::deque<ConfigHistoryEntry> &ControlState::history() const
+{
+    return history_;
+}
+
 const std::map<GroupKey, GroupTerm> &ControlState::terms() const
 {
     return terms_;
 }
 
+const std::map<GroupKey, GroupMembers> &ControlState::members() const
+{
+    return members_;
+}
+
+const std::map<VmId, ZoneId> &ControlState::entries() const
+{
+    return entries_;
+}
+
 } // namespace daisyrelay
