Check not-repeatable work in the load run

Cause: the load tool printed doubled writes but never counted one, a check that could not fail. Change: work that is not repeatable adds to a counter of the session; a share of acknowledged requests is sent once more with its idempotency key through another entry; the end of the run compares the counter with what was acknowledged and what was left unknown. Lost acknowledged writes are counted the same way. Runs can be bounded by requests.

--- a/include/daisyrelay/load/loadoptions.h
+++ b/include/daisyrelay/load/loadoptions.h
@@ -24,6 +24,9 @@
     std::uint32_t sessions = 8;
     std::uint32_t ratePerSecond = 0; ///< Open loop at this rate over all sessions; zero for a closed loop.
     std::chrono::seconds duration { 10 };
+    std::uint64_t requests = 0; ///< Ends the run after this many requests; zero leaves it to the duration.
+    std::uint32_t resendPercent = 0; ///< Share of acknowledged requests whose idempotency key is sent once more.
+    std::string verifyClass; ///< Class of the reads that check the result; its freshness should be zero.
     std::chrono::milliseconds deadline { 1000 };
     std::uint64_t seed = 1;
     bool progress = true;
--- a/include/daisyrelay/load/loadreport.h
+++ b/include/daisyrelay/load/loadreport.h
@@ -27,7 +27,11 @@
     std::uint64_t staleOwnReads = 0; ///< Reads that did not see the session's own write.
     std::uint64_t lostWrites = 0; ///< Acknowledged writes that were gone at the end.
     std::uint64_t doubledWrites = 0; ///< Requests marked not repeatable that ran more than once.
-    std::uint64_t transportErrors = 0;
+    std::uint64_t transportErrors = 0; ///< Requests that were sent and got no whole answer.
+    std::uint64_t refusedConnects = 0; ///< Connections that an entry did not accept; another entry was tried.
+    std::uint64_t resent = 0; ///< Requests sent once more with the idempotency key of an acknowledged one.
+    std::uint64_t verifyAttempts = 0; ///< Reads of the final check that were refused and tried again.
+    std::uint64_t unverified = 0; ///< Sessions whose writes could not be read back at the end.
 
     [[nodiscard]] bool promisesHeld() const;
     [[nodiscard]] std::string toJson() const;
--- a/lib/load/loadreport.cpp
+++ b/lib/load/loadreport.cpp
@@ -23,7 +23,7 @@
 
 bool LoadReport::promisesHeld() const
 {
-    return staleOwnReads == 0 && lostWrites == 0 && doubledWrites == 0;
+    return staleOwnReads == 0 && lostWrites == 0 && doubledWrites == 0 && unverified == 0;
 }
 
 std::string LoadReport::toJson() const
@@ -44,7 +44,8 @@
     }
     return json::serialize(json::object { { "seconds", seconds }, { "classes", std::move(list) },
         { "longest_write_gap_ms", std::move(gaps) }, { "stale_own_reads", staleOwnReads },
-        { "lost_writes", lostWrites }, { "doubled_writes", doubledWrites }, { "transport_errors", transportErrors } });
+        { "lost_writes", lostWrites }, { "doubled_writes", doubledWrites }, { "transport_errors", transportErrors },
+        { "refused_connects", refusedConnects }, { "resent", resent }, { "unverified", unverified } });
 }
 
 std::string LoadReport::toTable() const
@@ -72,7 +73,8 @@
         out << "longest gap between acknowledged writes of " << group << ": " << gap << " ms\n";
     }
     out << "stale own reads " << staleOwnReads << ", lost acknowledged writes " << lostWrites << ", doubled writes "
-        << doubledWrites << ", transport errors " << transportErrors << "\n";
+        << doubledWrites << " (" << resent << " resent), cut requests " << transportErrors << ", refused connects "
+        << refusedConnects << ", sessions not verified " << unverified << "\n";
     return out.str();
 }
 
--- a/tools/daisyrelay-load/main.cpp
+++ b/tools/daisyrelay-load/main.cpp
@@ -15,6 +15,9 @@
 DEFINE_uint32(sessions, 8, "Concurrent sessions");
 DEFINE_uint32(rate, 0, "Requests per second over all sessions; 0 sends the next when the last is answered");
 DEFINE_uint32(seconds, 10, "Length of the run");
+DEFINE_uint64(requests, 0, "End after this many requests; 0 leaves it to --seconds");
+DEFINE_uint32(resend_percent, 10, "Acknowledged requests whose idempotency key is sent once more, in percent");
+DEFINE_string(verify_class, "", "Class of the final reads; the first writing class of the mix by default");
 DEFINE_uint32(deadline_ms, 1000, "Deadline of each request");
 DEFINE_uint64(seed, 1, "Seed of the choices");
 DEFINE_string(json, "", "File for the report as JSON");
@@ -49,6 +52,16 @@
     return !classes.empty();
 }
 
+static std::string firstWritingClass(const std::vector<daisyrelay::LoadClass> &classes)
+{
+    for (const daisyrelay::LoadClass &workClass : classes) {
+        if (workClass.write) {
+            return workClass.name;
+        }
+    }
+    return classes.front().name;
+}
+
 int main(int argc, char **argv)
 {
     constexpr int ExitPromiseBroken = 4;
@@ -70,6 +83,9 @@
     options.sessions = FLAGS_sessions;
     options.ratePerSecond = FLAGS_rate;
     options.duration = std::chrono::seconds(FLAGS_seconds);
+    options.requests = FLAGS_requests;
+    options.resendPercent = FLAGS_resend_percent;
+    options.verifyClass = FLAGS_verify_class.empty() ? firstWritingClass(options.classes) : FLAGS_verify_class;
     options.deadline = std::chrono::milliseconds(FLAGS_deadline_ms);
     options.seed = FLAGS_seed;
     options.progress = FLAGS_progress;
