Complete the operators' tool

Cause: config diff, history, classes, YAML output and help on each subcommand were missing, and status did not say what is wrong. Conclusion: config history waits for the control library to serve it.

--- a/include/daisyrelay/ctl/commands.h
+++ b/include/daisyrelay/ctl/commands.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/config.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,7 @@
     Endpoint server;
     OutputFormat output = OutputFormat::Table;
     std::string changeId; ///< For config set; a new one is made if it is empty.
-    std::uint64_t version = 0; ///< For config set; zero reads the current one first.
+    std::optional<std::uint64_t> version; ///< For config set; read from the VM if it is not given.
 };
 
 /// Runs a subcommand such as { "config", "get" }.
--- /dev/null
+++ b/lib/ctl/client.cpp
@@ -0,0 +1,58 @@
+#include "client.h"
+
+#include <iostream>
+
+#include <boost/json.hpp>
+
+namespace daisyrelay {
+
+namespace json = boost::json;
+
+static constexpr Duration RequestTimeout = std::chrono::seconds(8);
+static constexpr int FirstErrorStatus = 300;
+
+static std::string textOf(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : "";
+}
+
+static CtlExit exitOfProblem(const json::value &problem)
+{
+    if (!problem.is_object()) {
+        std::cerr << "daisyrelayctl: refused\n";
+        return CtlExit::Refused;
+    }
+    const json::object &fields = problem.as_object();
+    std::cerr << "daisyrelayctl: " << textOf(fields, "kind") << ": " << textOf(fields, "detail") << "\n";
+    return textOf(fields, "ran") == "unknown" ? CtlExit::Unknown : CtlExit::Refused;
+}
+
+CtlAnswer callServer(const CtlOptions &options, const HttpRequest &request, CtlExit lostAnswer)
+{
+    const std::optional<HttpResponse> response = requestOnce(options.server, request, RequestTimeout);
+    if (!response) {
+        std::cerr << "daisyrelayctl: no answer from " << options.server.host << ":" << options.server.port << "\n";
+        return { lostAnswer, nullptr };
+    }
+    boost::system::error_code error;
+    json::value body = json::parse(response->body, error);
+    if (response->status >= FirstErrorStatus) {
+        return { exitOfProblem(error ? json::value() : body), nullptr };
+    }
+    if (error) {
+        std::cerr << "daisyrelayctl: the answer is not JSON\n";
+        return { lostAnswer, nullptr };
+    }
+    return { CtlExit::Success, std::move(body) };
+}
+
+CtlAnswer getFrom(const CtlOptions &options, const std::string &target)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = target;
+    return callServer(options, request);
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/ctl/client.h
@@ -0,0 +1,27 @@
+// Requests of the operators' tool to one VM.
+#pragma once
+
+#include "daisyrelay/ctl/commands.h"
+#include "daisyrelay/net.h"
+
+#include <optional>
+#include <string>
+
+#include <boost/json/value.hpp>
+
+namespace daisyrelay {
+
+/// The answer to one request, or the exit code that the tool ends with.
+struct CtlAnswer {
+    CtlExit exit = CtlExit::Success;
+    boost::json::value body; ///< Valid if exit is Success.
+};
+
+/// Sends a request and prints the problem, if any, to standard error.
+/// \param lostAnswer The exit code if no answer came: Unreachable for reads, Unknown for changes.
+CtlAnswer callServer(const CtlOptions &options, const HttpRequest &request, CtlExit lostAnswer = CtlExit::Unreachable);
+
+/// Sends a GET request.
+CtlAnswer getFrom(const CtlOptions &options, const std::string &target);
+
+} // namespace daisyrelay
--- a/lib/ctl/commands.cpp
+++ b/lib/ctl/commands.cpp
@@ -1,12 +1,13 @@
 #include "daisyrelay/ctl/commands.h"
 
-#include "daisyrelay/net.h"
+#include "client.h"
+#include "configcommands.h"
+#include "output.h"
+#include "problems.h"
 
-#include <fstream>
-#include <iomanip>
+#include <array>
+#include <functional>
 #include <iostream>
-#include <random>
-#include <sstream>
 
 #include <boost/json.hpp>
 
@@ -14,232 +15,149 @@
 
 namespace json = boost::json;
 
-static constexpr Duration RequestTimeout = std::chrono::seconds(8);
-static constexpr int Ok = 200;
+namespace {
 
-static std::optional<HttpResponse> call(
-    const CtlOptions &options, const std::string &method, const std::string &target, const std::string &body = "")
-{
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.body = body;
-    return requestOnce(options.server, request, RequestTimeout);
-}
-
-static CtlExit report(const std::optional<HttpResponse> &response)
-{
-    if (!response) {
-        std::cerr << "daisyrelayctl: no answer\n";
-        return CtlExit::Unreachable;
-    }
-    if (response->status == Ok) {
-        return CtlExit::Success;
-    }
-    boost::system::error_code error;
-    const json::value problem = json::parse(response->body, error);
-    std::string kind = "error";
-    if (!error && problem.is_object() && problem.as_object().contains("kind")) {
-        kind = std::string(problem.at("kind").as_string());
-        std::cerr << "daisyrelayctl: " << kind << ": " << std::string(problem.at("detail").as_string()) << "\n";
-        if (problem.at("ran").as_string() == "unknown") {
-            return CtlExit::Unknown;
-        }
-    }
-    return CtlExit::Refused;
-}
+/// One subcommand with its help.
+struct Command {
+    std::string_view words; ///< Such as "config set".
+    std::string_view argument; ///< Such as "FILE"; empty if it takes none.
+    std::string_view summary;
+    std::string_view details;
+    std::function<CtlExit(const CtlOptions &, const std::string &argument)> run;
+};
 
-static std::string cellText(const json::value &value)
-{
-    return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
-}
+} // namespace
 
-static void printTable(const json::array &rows)
+static void printSection(const json::object &status, std::string_view key, std::string_view title)
 {
-    if (rows.empty()) {
-        std::cout << "(none)\n";
+    const json::value *rows = status.if_contains(key);
+    if (rows == nullptr) {
         return;
     }
-    std::vector<std::string> columns;
-    std::vector<std::size_t> widths;
-    for (const auto &field : rows.front().as_object()) {
-        columns.emplace_back(field.key());
-        widths.push_back(columns.back().size());
-    }
-    for (const json::value &row : rows) {
-        for (std::size_t index = 0; index < columns.size(); ++index) {
-            widths[index] = std::max(widths[index], cellText(row.at(columns[index])).size());
-        }
-    }
-    const auto printCell = [&widths](std::size_t index, const std::string &text) {
-        std::cout << std::left << std::setw(static_cast<int>(widths[index]) + 2) << text;
-    };
-    for (std::size_t index = 0; index < columns.size(); ++index) {
-        printCell(index, columns[index]);
-    }
-    std::cout << "\n";
-    for (const json::value &row : rows) {
-        for (std::size_t index = 0; index < columns.size(); ++index) {
-            printCell(index, cellText(row.at(columns[index])));
-        }
-        std::cout << "\n";
-    }
+    std::cout << "\n" << title << "\n";
+    printValue(std::cout, OutputFormat::Table, *rows);
 }
 
 static CtlExit showStatus(const CtlOptions &options)
 {
-    const std::optional<HttpResponse> response = call(options, "GET", "/v1/status");
-    if (const CtlExit code = report(response); code != CtlExit::Success) {
-        return code;
+    const CtlAnswer answer = getFrom(options, "/v1/status");
+    if (answer.exit != CtlExit::Success) {
+        return answer.exit;
     }
     if (options.output != OutputFormat::Table) {
-        std::cout << response->body << "\n";
+        printValue(std::cout, options.output, answer.body);
         return CtlExit::Success;
     }
-    const json::value status = json::parse(response->body);
-    std::cout << "VM " << cellText(status.at("vm")) << " in " << cellText(status.at("zone")) << ", lease "
-              << (status.at("lease_live").as_bool() ? "live" : "NOT LIVE") << ", configuration "
-              << cellText(status.at("config_version")) << "\n\ngroups\n";
-    printTable(status.at("groups").as_array());
-    std::cout << "\nbackend servers\n";
-    printTable(status.at("backends").as_array());
+    const json::object &status = answer.body.as_object();
+    const std::vector<std::string> problems = problemsIn(status);
+    std::cout << (problems.empty() ? "nothing is wrong\n" : "WRONG NOW\n");
+    for (const std::string &problem : problems) {
+        std::cout << "  " << problem << "\n";
+    }
+    std::cout << "\nseen by VM " << cellText(status.at("vm")) << " in " << cellText(status.at("zone"))
+              << ", configuration " << cellText(status.at("config_version")) << "\n";
+    printSection(status, "vms", "VMs");
+    printSection(status, "entries", "leases");
+    printSection(status, "groups", "groups");
+    printSection(status, "backends", "backend servers");
     return CtlExit::Success;
 }
 
-static CtlExit configGet(const CtlOptions &options)
+static CtlExit showPart(const CtlOptions &options, std::string_view part)
 {
-    const std::optional<HttpResponse> response = call(options, "GET", "/v1/config");
-    if (const CtlExit code = report(response); code != CtlExit::Success) {
-        return code;
-    }
-    if (options.output == OutputFormat::Json) {
-        std::cout << response->body << "\n";
-        return CtlExit::Success;
-    }
-    const json::value body = json::parse(response->body);
-    std::cout << "# version " << cellText(body.at("version")) << "\n";
-    if (const Expected<Configuration> parsed = parseConfiguration(json::serialize(body.at("config"))); parsed) {
-        std::cout << toYaml(*parsed);
+    const CtlAnswer answer = getFrom(options, "/v1/status");
+    if (answer.exit == CtlExit::Success) {
+        printValue(std::cout, options.output, answer.body.at(part));
     }
-    return CtlExit::Success;
+    return answer.exit;
 }
 
-static std::string newChangeId()
+static CtlExit drain(const CtlOptions &options)
 {
-    std::random_device source;
-    std::ostringstream out;
-    for (int part = 0; part < 4; ++part) {
-        out << std::hex << std::setw(8) << std::setfill('0') << source();
-    }
-    return out.str();
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/drain";
+    return callServer(options, request, CtlExit::Unknown).exit;
 }
 
-static Expected<Configuration> readConfiguration(const std::string &fileName)
+static const std::vector<Command> &commands()
 {
-    std::ifstream file(fileName);
-    if (!file) {
-        return tl::unexpected(Error { ErrorKind::InvalidConfig, fileName + ": can not be read" });
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseConfiguration(text.str(), fileName);
+    static const std::vector<Command> All {
+        { "status", "", "what is wrong, then VMs, leases, groups and backend servers as one VM sees them", "",
+            [](const CtlOptions &options, const std::string &) { return showStatus(options); } },
+        { "config get", "", "the configuration in force on the VM, with its version", "",
+            [](const CtlOptions &options, const std::string &) { return configGet(options); } },
+        { "config set", "FILE", "replaces the configuration",
+            "The change is accepted only if the configuration still has the expected version, which is read first\n"
+            "unless --expect_version names it. After a lost answer send it again with the same --change_id.\n",
+            [](const CtlOptions &options, const std::string &file) { return configSet(options, file); } },
+        { "config diff", "FILE", "what config set would change", "",
+            [](const CtlOptions &options, const std::string &file) { return configDiff(options, file); } },
+        { "config validate", "FILE", "checks a configuration file without any VM", "",
+            [](const CtlOptions &, const std::string &file) { return configValidate(file); } },
+        { "config history", "", "the last accepted changes", "",
+            [](const CtlOptions &options, const std::string &) { return configHistory(options); } },
+        { "classes", "", "the classes of work and their targets", "",
+            [](const CtlOptions &options, const std::string &) { return showClasses(options); } },
+        { "backends", "", "the backend servers with their lag and home", "",
+            [](const CtlOptions &options, const std::string &) { return showPart(options, "backends"); } },
+        { "counters", "", "what was answered, refused and retried, by reason", "",
+            [](const CtlOptions &options, const std::string &) { return showPart(options, "counters"); } },
+        { "drain", "", "shuts the VM down once what is open is finished", "",
+            [](const CtlOptions &options, const std::string &) { return drain(options); } },
+    };
+    return All;
 }
 
-static CtlExit configValidate(const std::string &fileName)
+static std::string usageLine(const Command &command)
 {
-    if (const Expected<Configuration> parsed = readConfiguration(fileName); !parsed) {
-        std::cerr << "daisyrelayctl: " << parsed.error().detail << "\n";
-        return CtlExit::Invalid;
+    std::string line = "daisyrelayctl " + std::string(command.words);
+    if (!command.argument.empty()) {
+        line += " " + std::string(command.argument);
     }
-    std::cout << fileName << ": valid\n";
-    return CtlExit::Success;
+    return line;
 }
 
-static CtlExit configSet(const CtlOptions &options, const std::string &fileName)
+static const Command *findCommand(const std::vector<std::string> &words, std::size_t &used)
 {
-    const Expected<Configuration> parsed = readConfiguration(fileName);
-    if (!parsed) {
-        std::cerr << "daisyrelayctl: " << parsed.error().detail << "\n";
-        return CtlExit::Invalid;
-    }
-    std::uint64_t version = options.version;
-    if (version == 0) {
-        const std::optional<HttpResponse> current = call(options, "GET", "/v1/config");
-        if (const CtlExit code = report(current); code != CtlExit::Success) {
-            return code;
+    constexpr std::size_t MostWords = 2;
+    for (used = std::min(MostWords, words.size()); used > 0; --used) {
+        const std::string name = used == 1 ? words[0] : words[0] + " " + words[1];
+        for (const Command &command : commands()) {
+            if (command.words == name) {
+                return &command;
+            }
         }
-        version = json::parse(current->body).at("version").to_number<std::uint64_t>();
     }
-    HttpRequest request;
-    request.method = "PUT";
-    request.target = "/v1/config";
-    request.body = toJson(*parsed);
-    request.ifMatch = std::to_string(version);
-    request.changeId = options.changeId.empty() ? newChangeId() : options.changeId;
-    const std::optional<HttpResponse> response = requestOnce(options.server, request, RequestTimeout);
-    if (const CtlExit code = report(response); code != CtlExit::Success) {
-        std::cerr << "daisyrelayctl: change id " << request.changeId << "\n";
-        return response ? code : CtlExit::Unknown;
-    }
-    std::cout << "accepted as version " << cellText(json::parse(response->body).at("version")) << "\n";
-    return CtlExit::Success;
+    return nullptr;
 }
 
-static CtlExit showPart(const CtlOptions &options, const std::string &part)
+std::string helpText(const std::vector<std::string> &words)
 {
-    const std::optional<HttpResponse> response = call(options, "GET", "/v1/status");
-    if (const CtlExit code = report(response); code != CtlExit::Success) {
-        return code;
-    }
-    const json::value value = json::parse(response->body).at(part);
-    if (options.output != OutputFormat::Table) {
-        std::cout << json::serialize(value) << "\n";
-    } else if (value.is_array()) {
-        printTable(value.as_array());
-    } else {
-        for (const auto &field : value.as_object()) {
-            std::cout << std::left << std::setw(32) << std::string(field.key()) << cellText(field.value()) << "\n";
-        }
-    }
-    return CtlExit::Success;
-}
-
-std::string helpText(const std::vector<std::string> & /*words*/)
-{
-    return "daisyrelayctl [--server HOST:PORT] [--output table|json|yaml] COMMAND\n"
-           "  status                 the system as this VM sees it\n"
-           "  config get             the configuration in force\n"
-           "  config set FILE        change the configuration\n"
-           "  config validate FILE   check a configuration file\n"
-           "  backends               the backend servers\n"
-           "  counters               what was refused and retried, by reason\n"
-           "  drain                  shut this VM down gracefully\n";
+    std::size_t used = 0;
+    if (const Command *command = findCommand(words, used); command != nullptr) {
+        return usageLine(*command) + "\n  " + std::string(command->summary) + "\n" + std::string(command->details);
+    }
+    std::string text = "daisyrelayctl [--server HOST:PORT] [--output table|json|yaml] COMMAND [--help]\n";
+    for (const Command &command : commands()) {
+        text += "  " + usageLine(command).substr(std::string_view("daisyrelayctl ").size()) + "\n      "
+            + std::string(command.summary) + "\n";
+    }
+    text += "exit codes: 0 done, 1 refused and nothing changed, 2 usage, 3 no VM answered, 4 outcome unknown,\n"
+            "            5 invalid file\n";
+    return text;
 }
 
 CtlExit runCommand(const CtlOptions &options, const std::vector<std::string> &words)
 {
-    const std::string command = words.empty() ? "" : words[0];
-    const std::string action = words.size() > 1 ? words[1] : "";
-    if (command == "status") {
-        return showStatus(options);
-    }
-    if (command == "backends" || command == "counters") {
-        return showPart(options, command);
-    }
-    if (command == "drain") {
-        return report(call(options, "POST", "/v1/drain"));
-    }
-    if (command == "config" && action == "get") {
-        return configGet(options);
-    }
-    if (command == "config" && action == "set" && words.size() == 3) {
-        return configSet(options, words[2]);
-    }
-    if (command == "config" && action == "validate" && words.size() == 3) {
-        return configValidate(words[2]);
-    }
-    std::cerr << helpText(words);
-    return CtlExit::Usage;
+    std::size_t used = 0;
+    const Command *command = findCommand(words, used);
+    const std::size_t wanted = command != nullptr && !command->argument.empty() ? used + 1 : used;
+    if (command == nullptr || words.size() != wanted) {
+        std::cerr << helpText(words);
+        return CtlExit::Usage;
+    }
+    return command->run(options, command->argument.empty() ? "" : words.back());
 }
 
 } // namespace daisyrelay
--- a/tools/daisyrelayctl/main.cpp
+++ b/tools/daisyrelayctl/main.cpp
@@ -8,18 +8,19 @@
 DEFINE_string(server, "127.0.0.1:7001", "Any entry or control VM, as host:port");
 DEFINE_string(output, "table", "table, json or yaml");
 DEFINE_string(change_id, "", "config set: identifier of the change, to send it again after a lost answer");
-DEFINE_uint64(expect_version, 0, "config set: the version that the change replaces");
+DEFINE_int64(expect_version, -1, "config set: the version that the change replaces; -1 reads the current one");
 
 int main(int argc, char **argv)
 {
     std::vector<std::string> words;
     for (int index = 1; index < argc; ++index) {
+        // The flag library would print all flags of all libraries for --help.
+        if (const std::string_view word = argv[index]; word == "--help" || word == "-h") {
+            std::cout << daisyrelay::helpText(words);
+            return 0;
+        }
         words.emplace_back(argv[index]);
     }
-    if (words.empty() || words.back() == "--help" || words.back() == "-h") {
-        std::cout << daisyrelay::helpText(words);
-        return 0;
-    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     daisyrelay::CtlOptions options;
     const std::size_t colon = FLAGS_server.rfind(':');
@@ -33,7 +34,9 @@
         : FLAGS_output == "yaml"            ? daisyrelay::OutputFormat::Yaml
                                             : daisyrelay::OutputFormat::Table;
     options.changeId = FLAGS_change_id;
-    options.version = FLAGS_expect_version;
+    if (FLAGS_expect_version >= 0) {
+        options.version = static_cast<std::uint64_t>(FLAGS_expect_version);
+    }
     words.assign(argv + 1, argv + argc);
     return static_cast<int>(daisyrelay::runCommand(options, words));
 }
