--- a/include/daisyrelay/base/errorkind.h
+++ b/include/daisyrelay/base/errorkind.h
@@ -67,6 +67,8 @@
     ErrorKind kind = ErrorKind::Internal;
     std::string detail;
     std::int64_t retryAfterMs = 0; ///< Zero when there is nothing to wait for.
+
+    bool operator==(const Error &) const = default;
 };
 
 template <typename T>
