--- a/include/daisyrelay/load/loadoptions.h
+++ b/include/daisyrelay/load/loadoptions.h
@@ -26,6 +26,7 @@
     std::chrono::seconds duration { 10 };
     std::uint64_t requests = 0; ///< Ends the run after this many requests; zero leaves it to the duration.
     std::uint32_t resendPercent = 0; ///< Share of acknowledged requests whose idempotency key is sent once more.
+    Term directTerm = 0; ///< If set, reads go straight to a database in this term, to measure what an entry adds.
     std::string verifyClass; ///< Class of the reads that check the result; its freshness should be zero.
     std::chrono::milliseconds deadline { 1000 };
     std::uint64_t seed = 1;
--- a/lib/load/loadrunner.cpp
+++ b/lib/load/loadrunner.cpp
@@ -54,10 +54,12 @@
         gap = std::max(gap, std::chrono::duration<double, std::milli>(std::min(end, run.endsAt) - last).count());
     }
     context.restart();
-    for (const std::unique_ptr<LoadSession> &session : sessions) {
-        session->verify(0);
+    if (options.directTerm == 0) {
+        for (const std::unique_ptr<LoadSession> &session : sessions) {
+            session->verify(0);
+        }
+        context.run();
     }
-    context.run();
     return report;
 }
 
--- a/lib/load/loadsession.cpp
+++ b/lib/load/loadsession.cpp
@@ -78,8 +78,23 @@
     return classes.back();
 }
 
+HttpRequest LoadSession::buildDirect() const
+{
+    const json::object body { { "request", putKey() + "." + std::to_string(run_.sent) }, { "transaction", nullptr },
+        { "action", "execute" }, { "kind", "read" }, { "statement", "get shared" }, { "term", run_.options.directTerm },
+        { "min_position", 0 } };
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/statements";
+    request.body = json::serialize(body);
+    return request;
+}
+
 HttpRequest LoadSession::build(Sent &sent)
 {
+    if (run_.options.directTerm > 0) {
+        return buildDirect();
+    }
     const LoadClass &workClass = *sent.workClass;
     json::object body { { "service", run_.options.service }, { "class", workClass.name }, { "group", sent.group },
         { "kind", workClass.write ? "write" : "read" }, { "repeatable", workClass.repeatable },
--- a/lib/load/loadsession.h
+++ b/lib/load/loadsession.h
@@ -60,6 +60,7 @@
 
     [[nodiscard]] const LoadClass &pickClass();
     [[nodiscard]] HttpRequest build(Sent &sent);
+    [[nodiscard]] HttpRequest buildDirect() const;
     void send(Sent sent);
     void onAnswer(const Sent &sent, const std::optional<HttpResponse> &response);
     void onRefusal(const Sent &sent, const boost::json::object &problem);
--- a/tools/daisyrelay-load/main.cpp
+++ b/tools/daisyrelay-load/main.cpp
@@ -17,6 +17,7 @@
 DEFINE_uint32(seconds, 10, "Length of the run");
 DEFINE_uint64(requests, 0, "End after this many requests; 0 leaves it to --seconds");
 DEFINE_uint32(resend_percent, 10, "Acknowledged requests whose idempotency key is sent once more, in percent");
+DEFINE_uint64(direct_term, 0, "Send reads straight to a database in this term instead of to an entry");
 DEFINE_string(verify_class, "", "Class of the final reads; the first writing class of the mix by default");
 DEFINE_uint32(deadline_ms, 1000, "Deadline of each request");
 DEFINE_uint64(seed, 1, "Seed of the choices");
@@ -84,6 +85,7 @@
     options.ratePerSecond = FLAGS_rate;
     options.duration = std::chrono::seconds(FLAGS_seconds);
     options.requests = FLAGS_requests;
+    options.directTerm = FLAGS_direct_term;
     options.resendPercent = FLAGS_resend_percent;
     options.verifyClass = FLAGS_verify_class.empty() ? firstWritingClass(options.classes) : FLAGS_verify_class;
     options.deadline = std::chrono::milliseconds(FLAGS_deadline_ms);
--- a/utils/cluster.sh
+++ b/utils/cluster.sh
@@ -15,6 +15,9 @@
 db_host() { echo "127.0.$2.1"; }
 db_port() { echo $((base_port + 200 + $1 * 10 + $2)); }
 
+# Set before start_system to compare policies or to run trials with faults.
+policy=${policy:-default}
+
 use_users_settings() {
     if [ "$1" = isartal ]; then
         service=savings-ledger zones=(muc-nord muc-sued freising) region=bayern
@@ -44,6 +47,7 @@
         echo "peer: $(vm_peer "$vm")"
         echo "secret: demonstration-secret-0001"
         [ -z "$folder" ] || echo "$folder"
+        [ "$policy" = default ] || echo "policy: $policy"
         echo "seeds:"
         local other
         for other in $(seq 1 "$vm_count"); do
