--- a/include/daisyrelay/config/settings.h
+++ b/include/daisyrelay/config/settings.h
@@ -29,6 +29,15 @@
     bool control = false; ///< Whether it belongs to the first set of control VMs.
 };
 
+/// How requests are routed and limited. All but the first exist to be compared with it in measurements.
+enum class Policy : std::uint8_t {
+    Default,
+    PrimaryReads, ///< All reads go to the primary.
+    RoundRobin, ///< Reads go to each fresh database in turn.
+    FixedShares, ///< Each entry uses its own share of the connections; there are no homes.
+    NoAdmission, ///< Nothing is refused before its deadline.
+};
+
 /// Everything that a daemon reads from its settings file.
 struct Settings {
     VmId id;
@@ -43,6 +52,7 @@
     std::vector<Seed> seeds;
     std::chrono::milliseconds transactionIdle { 10000 };
     std::chrono::milliseconds drainLimit { 30000 };
+    Policy policy = Policy::Default;
 };
 
 /// Reads and checks the settings in \p fileName.
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "yamlreader.h"
 
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -29,6 +30,21 @@
     return endpoint;
 }
 
+static Policy readPolicy(YamlReader &reader, const YAML::Node &root)
+{
+    static constexpr std::array Names { std::pair("default", Policy::Default),
+        std::pair("primary-reads", Policy::PrimaryReads), std::pair("round-robin", Policy::RoundRobin),
+        std::pair("fixed-shares", Policy::FixedShares), std::pair("no-admission", Policy::NoAdmission) };
+    const std::string name = reader.readString(root, "policy", "default");
+    for (const auto &[known, policy] : Names) {
+        if (name == known) {
+            return policy;
+        }
+    }
+    reader.fail(root["policy"], "policy", "must be default, primary-reads, round-robin, fixed-shares or no-admission");
+    return Policy::Default;
+}
+
 static void readRoles(YamlReader &reader, const YAML::Node &node, Settings &settings)
 {
     settings.entry = false;
@@ -71,7 +87,7 @@
     Settings settings;
     if (!reader.checkMap(root, "",
             { "id", "zone", "region", "roles", "http", "peer", "data_folder", "secret", "seeds", "transaction_idle",
-                "drain_limit" })) {
+                "drain_limit", "policy" })) {
         return settings;
     }
     settings.id = VmId { reader.requireString(root, "id") };
@@ -90,6 +106,7 @@
     }
     readSeeds(reader, root["seeds"], settings);
     settings.transactionIdle = reader.readDuration(root, "transaction_idle", settings.transactionIdle);
+    settings.policy = readPolicy(reader, root);
     settings.drainLimit = reader.readDuration(root, "drain_limit", settings.drainLimit);
     return settings;
 }
