Route reads by measured positions, claim keys at keepers, split the relay core

A key was not remembered, so a duplicate ran again. A token of an older term was compared with the last failover only. The relay core scanned all operations for each tick and each replica's answer.

Change: - The home of a replica asks the primary for its position every 200 ms, and counts an answer from the instant of the question, under its lease. A read carries the lowest position that is fresh enough, so that the replica itself decides; announcements only order the candidates. A replica that is nearly there is waited for, for half of the latency target; then the next database, then the primary through a gate of half its slots, and what finds no place is refused at once. - A request that is not repeatable is sent only after a majority of keepers (the control VMs, in memory) has granted its key. The home answers duplicates from memory. A keeper that has restarted copies the keys of the others first. - Forwarded requests are run once, and not after their deadline. Late checks of lease and term for writes, commits and reads of the primary, at the home and at the entry. Statements of a replaced primary are answered at once. - Transactions: a commit that is sent again gets its first answer; kinds transaction-busy and transaction-lost. - Only the entry that heard the caller retries, from a budget for each group and class, with exponential delay.

--- a/include/daisyrelay/relay/relaycore.h
+++ b/include/daisyrelay/relay/relaycore.h
@@ -16,6 +16,10 @@
     std::string secret;
     std::string bootId; ///< Differs between two runs of the same VM.
     Duration transactionIdle = std::chrono::seconds(10);
+    ReadPolicy readPolicy = ReadPolicy::CheapestFresh;
+    std::vector<VmId> keepers {}; ///< The VMs that keep idempotency keys; the same on every entry.
+    bool firstStart = false; ///< This VM has never run before, so that as a keeper it has nothing to remember.
+    std::uint64_t seed = 0; ///< Of the choices between equals and of jitter.
 };
 
 /// A caller's request as it came in.
@@ -38,6 +42,10 @@
     void onForwardRequest(Instant now, const VmId &from, const ForwardRequest &request);
     void onForwardAnswer(Instant now, const VmId &from, const ForwardAnswer &answer);
     void onPeerUnreachable(Instant now, const VmId &vm);
+    void onKeyClaim(Instant now, const VmId &from, const KeyClaim &claim);
+    void onKeyVerdict(Instant now, const VmId &from, const KeyVerdict &verdict);
+    void onKeyCopyRequest(Instant now, const VmId &from, const KeyCopyRequest &request);
+    void onKeyCopy(Instant now, const VmId &from, const KeyCopy &copy);
 
     void onConnectionOpened(Instant now, ConnectionId connection);
     void onConnectionClosed(Instant now, ConnectionId connection);
--- a/include/daisyrelay/routing.h
+++ b/include/daisyrelay/routing.h
@@ -3,4 +3,6 @@
 
 #include "daisyrelay/routing/backendtable.h"
 #include "daisyrelay/routing/leasestate.h"
+#include "daisyrelay/routing/primaryhistory.h"
+#include "daisyrelay/routing/readload.h"
 #include "daisyrelay/routing/router.h"
--- a/include/daisyrelay/routing/backendtable.h
+++ b/include/daisyrelay/routing/backendtable.h
@@ -1,9 +1,11 @@
 // What this entry knows of the backend servers: their announcements, and the positions seen in their answers.
 #pragma once
 
+#include "daisyrelay/routing/primaryhistory.h"
 #include "daisyrelay/wire.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace daisyrelay {
@@ -16,6 +18,10 @@
 };
 
 /// The backend servers by identifier; entries expire without announcements.
+///
+/// Two kinds of knowledge are kept apart. *Measured*: positions of the primary that this VM asked for, under its lease;
+/// they decide which position a read must find. *Estimated*: positions in announcements, which arrive after an unknown
+/// time; they only order the candidates.
 class BackendTable
 {
 public:
@@ -25,6 +31,9 @@
     /// Takes in the point of an answer, which is fresher than the last announcement.
     void observe(Instant now, const BackendId &backend, const LogPoint &point);
 
+    /// Takes in an answer of the primary that the lease names, to a question sent at \p askedAt.
+    void measurePrimary(Instant now, Instant askedAt, const GroupKey &group, const LogPoint &point);
+
     /// Forgets the servers that have been silent for too long.
     void expire(Instant now);
 
@@ -32,18 +41,26 @@
     [[nodiscard]] std::vector<const BackendState *> ofGroup(const GroupKey &group) const;
     [[nodiscard]] std::vector<const BackendState *> all() const;
 
-    /// Returns an upper bound of the age of the data in \p backend, measured on this VM's clock.
+    /// Returns the estimated age of the data in \p backend.
     [[nodiscard]] Duration staleness(Instant now, const BackendId &backend) const;
 
+    /// Returns the position that data of \p term no older than \p oldest must have reached, if it was measured.
+    [[nodiscard]] std::optional<Position> freshPosition(Instant oldest, const GroupKey &group, Term term) const;
+
+    /// Returns the last instant at which the primary of \p group is known to have had nothing beyond \p position.
+    [[nodiscard]] std::optional<Instant> measuredUntil(const GroupKey &group, Position position) const;
+
 private:
-    struct PrimaryHistory {
-        std::map<LogPoint, Instant> firstSeen; ///< When the primary was first known to be at a point.
+    struct GroupState {
+        std::set<BackendId> backends;
+        PrimaryHistory measured;
+        PrimaryHistory estimated;
     };
 
-    void recordPrimary(Instant now, const GroupKey &group, const LogPoint &point);
+    void estimatePrimary(Instant at, const GroupKey &group, const LogPoint &point);
 
     std::map<BackendId, BackendState> backends_;
-    std::map<GroupKey, PrimaryHistory> primaries_;
+    std::map<GroupKey, GroupState> groups_;
 };
 
 } // namespace daisyrelay
--- a/include/daisyrelay/wire/peermessage.h
+++ b/include/daisyrelay/wire/peermessage.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/wire/backendannouncement.h"
 #include "daisyrelay/wire/controlmessages.h"
+#include "daisyrelay/wire/keymessages.h"
 #include "daisyrelay/wire/leasemessages.h"
 #include "daisyrelay/wire/raftmessages.h"
 #include "daisyrelay/wire/statement.h"
@@ -13,14 +14,15 @@
 
 /// Asks the home of a database, or the holder of a transaction, to run a statement.
 struct ForwardRequest {
-    std::uint64_t forwardId = 0;
+    std::uint64_t forwardId = 0; ///< Unique over all runs of the sender.
+    std::int64_t sentAtMs = 0; ///< On the sender's own clock; only differences between two messages of it count.
     BackendId backend;
     StatementRequest request;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(forwardId, backend, request);
+        archive(forwardId, sentAtMs, backend, request);
     }
 };
 
@@ -41,7 +43,7 @@
 };
 
 using PeerPayload = std::variant<LeaseRequest, LeaseGrant, RaftMessage, ConfigChangeRequest, ConfigChangeAnswer,
-    BackendAnnouncement, ForwardRequest, ForwardAnswer>;
+    BackendAnnouncement, ForwardRequest, ForwardAnswer, KeyClaim, KeyVerdict, KeyCopyRequest, KeyCopy>;
 
 struct PeerMessage {
     VmId from;
--- a/lib/net/entryruntime.cpp
+++ b/lib/net/entryruntime.cpp
@@ -1,5 +1,6 @@
 #include "entryruntime.h"
 
+#include <filesystem>
 #include <random>
 
 #include <boost/json.hpp>
@@ -24,6 +25,25 @@
     return result;
 }
 
+static ReadPolicy readPolicyOf(Policy policy)
+{
+    switch (policy) {
+    case Policy::PrimaryReads:
+        return ReadPolicy::PrimaryOnly;
+    case Policy::RoundRobin:
+        return ReadPolicy::RoundRobin;
+    default:
+        return ReadPolicy::CheapestFresh;
+    }
+}
+
+static bool isEmptyFolder(const std::string &folder)
+{
+    std::error_code error;
+    const bool empty = std::filesystem::is_empty(folder, error);
+    return error ? !std::filesystem::exists(folder, error) : empty;
+}
+
 static RelayOptions relayOptions(const Settings &settings)
 {
     RelayOptions options;
@@ -32,6 +52,10 @@
     options.secret = settings.secret;
     options.bootId = std::to_string(std::random_device()());
     options.transactionIdle = settings.transactionIdle;
+    options.readPolicy = readPolicyOf(settings.policy);
+    options.keepers = controlVmsOf(settings);
+    options.firstStart = settings.control && isEmptyFolder(settings.dataFolder);
+    options.seed = std::random_device()();
     return options;
 }
 
@@ -94,6 +118,14 @@
         relay_.onForwardRequest(now, message.from, *forward);
     } else if (const auto *answer = std::get_if<ForwardAnswer>(&message.payload); answer != nullptr) {
         relay_.onForwardAnswer(now, message.from, *answer);
+    } else if (const auto *claim = std::get_if<KeyClaim>(&message.payload); claim != nullptr) {
+        relay_.onKeyClaim(now, message.from, *claim);
+    } else if (const auto *verdict = std::get_if<KeyVerdict>(&message.payload); verdict != nullptr) {
+        relay_.onKeyVerdict(now, message.from, *verdict);
+    } else if (const auto *copyRequest = std::get_if<KeyCopyRequest>(&message.payload); copyRequest != nullptr) {
+        relay_.onKeyCopyRequest(now, message.from, *copyRequest);
+    } else if (const auto *copy = std::get_if<KeyCopy>(&message.payload); copy != nullptr) {
+        relay_.onKeyCopy(now, message.from, *copy);
     } else if (const auto *announced = std::get_if<BackendAnnouncement>(&message.payload); announced != nullptr) {
         if (directory_.merge(now, *announced)) {
             relay_.onAnnouncement(now, *announced);
--- a/lib/relay/operation.h
+++ b/lib/relay/operation.h
@@ -6,6 +6,7 @@
 #include "daisyrelay/session.h"
 
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace daisyrelay {
@@ -24,24 +25,83 @@
 
 /// How far an operation has come.
 enum class OperationStage : std::uint8_t {
+    Routing, ///< Being decided on; nothing was sent.
+    RetryDelay, ///< Waits before it is routed again.
+    Claiming, ///< Waits until the keepers have granted its key.
+    DuplicateWait, ///< Waits for the answer to another request with its key.
+    FallbackWait, ///< A read that waits for the limited share of the primary.
+    Measuring, ///< Waits until this VM knows which position is fresh enough.
+    CatchingUp, ///< Waits until the replica has reached the position.
     Queued, ///< Waits in the pool of its database; nothing was sent.
     Sent, ///< On a connection to a database.
     Forwarded, ///< With another entry.
     Replicating, ///< Done by the primary; waits until a second database has it.
 };
 
+/// The answers of the keepers to the claim of an operation's key.
+struct ClaimState {
+    std::set<VmId> granted;
+    std::set<VmId> forgotten;
+};
+
 struct Operation {
     WorkId id = 0;
     std::variant<CallerOrigin, PeerOrigin> origin;
     StatementRequest request;
     ClassTarget target;
     Route route;
+    Instant acceptedAt;
     Instant deadline;
-    OperationStage stage = OperationStage::Queued;
+    Instant wakeAt; ///< When the operation is looked at again at the latest; kept by OperationTable.
+    Instant waitUntil {}; ///< How long a replica may take to become usable; zero before the first wait.
+    Instant sentAt {};
+    OperationStage stage = OperationStage::Routing;
     ConnectionId connection = 0;
     VmId forwardedTo;
     StatementResult result; ///< Valid while Replicating.
-    std::uint32_t attempts = 0;
+    std::uint32_t attempts = 0; ///< Sends to a database and forwards so far.
+    std::set<BackendId> tried; ///< Databases that have refused this read.
+    ClaimState claim;
+    bool keyHeld = false; ///< Its key is remembered under this operation.
+    bool keyGranted = false; ///< A majority of the keepers has granted its key.
+    bool mayHaveRan = false; ///< An earlier attempt ended without a certain outcome.
+    bool inFallback = false; ///< Known to the fallback gate.
+    bool loadCounted = false; ///< Counted as open in ReadLoad.
+    bool runHere = false; ///< The home can not be reached; this entry's fixed share serves the read.
+
+    [[nodiscard]] bool fromCaller() const
+    {
+        return std::holds_alternative<CallerOrigin>(origin);
+    }
+
+    [[nodiscard]] bool isPlainRead() const
+    {
+        return request.kind == StatementKind::Read && request.action == StatementAction::Execute
+            && request.transaction.empty();
+    }
+
+    /// Returns whether running the request twice does no harm.
+    [[nodiscard]] bool mayRepeat() const
+    {
+        return isPlainRead()
+            || (request.action == StatementAction::Execute && request.transaction.empty() && request.repeatable
+                && target.repeatable);
+    }
+
+    /// Returns whether the request's key guards it against running twice.
+    [[nodiscard]] bool isGuardedByKey() const
+    {
+        return request.kind == StatementKind::Write && request.action == StatementAction::Execute
+            && request.transaction.empty() && !request.repeatable && !request.key.empty();
+    }
+
+    /// Returns whether the answer acknowledges a change.
+    [[nodiscard]] bool acknowledgesWrite() const
+    {
+        return request.action == StatementAction::Commit
+            || (request.action == StatementAction::Execute && request.transaction.empty()
+                && request.kind == StatementKind::Write);
+    }
 };
 
 } // namespace daisyrelay
--- a/lib/relay/relaycore.cpp
+++ b/lib/relay/relaycore.cpp
@@ -31,6 +31,26 @@
     impl_->peerUnreachable(now, vm);
 }
 
+void RelayCore::onKeyClaim(Instant now, const VmId &from, const KeyClaim &claim)
+{
+    impl_->claimAsked(now, from, claim);
+}
+
+void RelayCore::onKeyVerdict(Instant now, const VmId &from, const KeyVerdict &verdict)
+{
+    impl_->claimAnswered(now, from, verdict);
+}
+
+void RelayCore::onKeyCopyRequest(Instant now, const VmId &from, const KeyCopyRequest &request)
+{
+    impl_->copyAsked(now, from, request);
+}
+
+void RelayCore::onKeyCopy(Instant now, const VmId &from, const KeyCopy &copy)
+{
+    impl_->copyArrived(now, from, copy);
+}
+
 void RelayCore::onConnectionOpened(Instant now, ConnectionId connection)
 {
     impl_->connectionOpened(now, connection);
@@ -53,7 +73,7 @@
 
 void RelayCore::onAnnouncement(Instant now, const BackendAnnouncement &announcement)
 {
-    impl_->backends_.announce(now, announcement);
+    impl_->announced(now, announcement);
 }
 
 void RelayCore::onLease(Instant now, const LeaseState &lease)
--- /dev/null
+++ b/lib/relay/relaytransactions.cpp
@@ -0,0 +1,102 @@
+// Transactions: their statements go to the entry that holds the connection, and run on that connection alone.
+#include "relayimpl.h"
+
+namespace daisyrelay {
+
+static constexpr std::int64_t RetryAfterMs = 20;
+
+namespace {
+
+/// The parts of a transaction identifier: VM.BOOT.NUMBER, where only the VM may contain dots.
+struct TransactionParts {
+    VmId holder;
+    std::string bootId;
+};
+
+} // namespace
+
+static std::optional<TransactionParts> partsOf(const TransactionId &id)
+{
+    const std::size_t number = id.value.rfind('.');
+    if (number == std::string::npos || number == 0) {
+        return std::nullopt;
+    }
+    const std::size_t boot = id.value.rfind('.', number - 1);
+    if (boot == std::string::npos || boot == 0) {
+        return std::nullopt;
+    }
+    return TransactionParts { VmId { id.value.substr(0, boot) }, id.value.substr(boot + 1, number - boot - 1) };
+}
+
+void RelayCore::Impl::routeToHolder(Instant now, Operation &operation)
+{
+    const std::optional<TransactionParts> parts = partsOf(operation.request.transaction);
+    if (!parts) {
+        fail(now, operation, { ErrorKind::TransactionUnknown, "this is no transaction of the system", 0 });
+    } else if (parts->holder == options_.vm) {
+        runInTransaction(now, operation);
+    } else {
+        forward(now, operation, parts->holder);
+    }
+}
+
+void RelayCore::Impl::runInTransaction(Instant now, Operation &operation)
+{
+    const TransactionId &id = operation.request.transaction;
+    OpenTransaction *transaction = transactions_.find(id);
+    if (transaction == nullptr) {
+        const std::optional<TransactionParts> parts = partsOf(id);
+        if (const Expected<StatementResult> *end = transactions_.endOf(id); end != nullptr) {
+            const bool commitsAgain = operation.request.action == StatementAction::Commit;
+            Expected<StatementResult> answer = *end;
+            if (answer && !commitsAgain) {
+                answer = tl::unexpected(Error { ErrorKind::TransactionExpired, "the transaction is over", 0 });
+            }
+            finish(now, operation.id, std::move(answer));
+        } else if (parts && parts->bootId != options_.bootId) {
+            fail(now, operation, { ErrorKind::TransactionLost, "the entry that held it has restarted", 0 });
+        } else {
+            fail(now, operation, { ErrorKind::TransactionUnknown, "no such transaction is open", 0 });
+        }
+        return;
+    }
+    if (transaction->running != 0) {
+        fail(now, operation, { ErrorKind::TransactionBusy, "the transaction runs another statement", RetryAfterMs });
+        return;
+    }
+    const bool rollsBack = operation.request.action == StatementAction::Rollback;
+    if (!rollsBack && !mayAcknowledge(now, transaction->group, transaction->term)) {
+        fail(now, operation, whyNotAcknowledged(now));
+        return;
+    }
+    transaction->running = operation.id;
+    transaction->lastUse = now;
+    operation.request.group = transaction->group;
+    operation.request.classId = transaction->classId;
+    operation.target = transaction->target;
+    operation.route = Route { transaction->backend, transaction->term, 0, true, false };
+    send(now, operation, transaction->connection);
+}
+
+void RelayCore::Impl::closeTransaction(Instant now, const TransactionId &id, Error end)
+{
+    const OpenTransaction *open = transactions_.find(id);
+    if (open == nullptr) {
+        return;
+    }
+    const OpenTransaction transaction = *open;
+    transactions_.close(id, tl::unexpected(std::move(end)));
+    // Closing the connection makes the database roll back.
+    poolOf(transaction.backend).finish(now, transaction.connection, false);
+    drainPool(now, transaction.backend);
+}
+
+void RelayCore::Impl::expireTransactions(Instant now)
+{
+    for (const TransactionId &id : transactions_.idleSince(now - options_.transactionIdle)) {
+        counters_.add("transactions.expired");
+        closeTransaction(now, id, { ErrorKind::TransactionExpired, "it was idle for too long and rolled back", 0 });
+    }
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/relay/transactiontable.cpp
@@ -0,0 +1,62 @@
+#include "transactiontable.h"
+
+namespace daisyrelay {
+
+static constexpr std::size_t MostEnds = 4096;
+
+void TransactionTable::open(const TransactionId &id, OpenTransaction transaction)
+{
+    byConnection_[transaction.connection] = id;
+    open_.insert_or_assign(id, std::move(transaction));
+}
+
+OpenTransaction *TransactionTable::find(const TransactionId &id)
+{
+    const auto found = open_.find(id);
+    return found == open_.end() ? nullptr : &found->second;
+}
+
+void TransactionTable::close(const TransactionId &id, Expected<StatementResult> end)
+{
+    if (const auto found = open_.find(id); found != open_.end()) {
+        byConnection_.erase(found->second.connection);
+        open_.erase(found);
+    }
+    if (ends_.insert_or_assign(id, std::move(end)).second) {
+        endOrder_.push_back(id);
+    }
+    if (endOrder_.size() > MostEnds) {
+        ends_.erase(endOrder_.front());
+        endOrder_.pop_front();
+    }
+}
+
+const Expected<StatementResult> *TransactionTable::endOf(const TransactionId &id) const
+{
+    const auto found = ends_.find(id);
+    return found == ends_.end() ? nullptr : &found->second;
+}
+
+std::optional<TransactionId> TransactionTable::onConnection(ConnectionId connection) const
+{
+    const auto found = byConnection_.find(connection);
+    return found == byConnection_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<TransactionId> TransactionTable::idleSince(Instant since) const
+{
+    std::vector<TransactionId> result;
+    for (const auto &[id, transaction] : open_) {
+        if (transaction.running == 0 && transaction.lastUse <= since) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+bool TransactionTable::empty() const
+{
+    return open_.empty();
+}
+
+} // namespace daisyrelay
--- a/lib/routing/backendtable.cpp
+++ b/lib/routing/backendtable.cpp
@@ -5,7 +5,6 @@
 namespace daisyrelay {
 
 static constexpr Duration AnnouncementLife = std::chrono::seconds(3);
-static constexpr std::size_t LongestHistory = 1024;
 
 void BackendTable::announce(Instant now, const BackendAnnouncement &announcement)
 {
@@ -13,11 +12,15 @@
     if (announcement.version < state.announcement.version) {
         return;
     }
+    if (state.announcement.group != announcement.group) {
+        groups_[state.announcement.group].backends.erase(announcement.id);
+    }
     state.announcement = announcement;
     state.heardAt = now;
     state.point = std::max(state.point, announcement.point);
+    groups_[announcement.group].backends.insert(announcement.id);
     if (announcement.role == BackendRole::Primary) {
-        recordPrimary(now, announcement.group, announcement.point);
+        estimatePrimary(now, announcement.group, announcement.point);
     }
 }
 
@@ -29,13 +32,26 @@
     }
     found->second.point = std::max(found->second.point, point);
     if (found->second.announcement.role == BackendRole::Primary) {
-        recordPrimary(now, found->second.announcement.group, point);
+        estimatePrimary(now, found->second.announcement.group, point);
     }
 }
 
+void BackendTable::measurePrimary(Instant now, Instant askedAt, const GroupKey &group, const LogPoint &point)
+{
+    groups_[group].measured.record(askedAt, point.term, point.position);
+    estimatePrimary(now, group, point);
+}
+
 void BackendTable::expire(Instant now)
 {
-    std::erase_if(backends_, [now](const auto &entry) { return entry.second.heardAt + AnnouncementLife < now; });
+    for (auto entry = backends_.begin(); entry != backends_.end();) {
+        if (entry->second.heardAt + AnnouncementLife >= now) {
+            ++entry;
+            continue;
+        }
+        groups_[entry->second.announcement.group].backends.erase(entry->first);
+        entry = backends_.erase(entry);
+    }
 }
 
 const BackendState *BackendTable::find(const BackendId &backend) const
@@ -47,9 +63,9 @@
 std::vector<const BackendState *> BackendTable::ofGroup(const GroupKey &group) const
 {
     std::vector<const BackendState *> result;
-    for (const auto &[id, state] : backends_) {
-        if (state.announcement.group == group) {
-            result.push_back(&state);
+    if (const auto found = groups_.find(group); found != groups_.end()) {
+        for (const BackendId &backend : found->second.backends) {
+            result.push_back(&backends_.at(backend));
         }
     }
     return result;
@@ -71,27 +87,32 @@
     if (state == nullptr) {
         return Duration::max();
     }
-    const auto history = primaries_.find(state->announcement.group);
-    if (history == primaries_.end()) {
+    const auto group = groups_.find(state->announcement.group);
+    if (group == groups_.end() || state->point.term < group->second.estimated.term()) {
         return Duration::max();
     }
-    const auto newer = history->second.firstSeen.upper_bound(state->point);
-    if (newer == history->second.firstSeen.end()) {
-        return Duration::zero();
+    const std::optional<Instant> until = group->second.estimated.coveredUntil(state->point.position);
+    if (!until) {
+        return Duration::max();
     }
-    return now - newer->second;
+    return now > *until ? now - *until : Duration::zero();
 }
 
-void BackendTable::recordPrimary(Instant now, const GroupKey &group, const LogPoint &point)
+std::optional<Position> BackendTable::freshPosition(Instant oldest, const GroupKey &group, Term term) const
 {
-    std::map<LogPoint, Instant> &seen = primaries_[group].firstSeen;
-    if (!seen.empty() && seen.rbegin()->first >= point) {
-        return;
-    }
-    seen.emplace(point, now);
-    if (seen.size() > LongestHistory) {
-        seen.erase(seen.begin());
-    }
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? std::nullopt : found->second.measured.positionSince(oldest, term);
+}
+
+std::optional<Instant> BackendTable::measuredUntil(const GroupKey &group, Position position) const
+{
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? std::nullopt : found->second.measured.coveredUntil(position);
+}
+
+void BackendTable::estimatePrimary(Instant at, const GroupKey &group, const LogPoint &point)
+{
+    groups_[group].estimated.record(at, point.term, point.position);
 }
 
 } // namespace daisyrelay
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -1,61 +1,123 @@
 #include "daisyrelay/routing/router.h"
 
+#include <algorithm>
+
 namespace daisyrelay {
 
-Router::Router(ZoneId zone) : zone_(std::move(zone))
+static constexpr std::int64_t RetryAfterMs = 100;
+
+/// Estimates rest on announcements, which are this far apart at most; the home of the replica decides exactly.
+static constexpr Duration EstimateSlack = std::chrono::milliseconds(300);
+
+Router::Router(ZoneId zone, ReadPolicy policy, RandomSource random)
+    : zone_(std::move(zone)), policy_(policy), random_(std::move(random))
 {
 }
 
-static Expected<Route> routeToPrimary(const BackendTable &backends, const LeaseState &lease, const GroupKey &group)
+Expected<void> checkFloor(const LogPoint &floor, const GroupTerm &term)
 {
-    const GroupTerm *term = lease.termOf(group);
-    if (term == nullptr || term->primary.empty()) {
-        return tl::unexpected(Error { ErrorKind::NoPrimary, "the group has no primary now" });
+    if (floor.term > term.term) {
+        return tl::unexpected(
+            Error { ErrorKind::NoPrimary, "the session has seen a newer term than this entry", RetryAfterMs });
     }
-    const BackendState *primary = backends.find(term->primary);
-    if (primary == nullptr) {
-        return tl::unexpected(Error { ErrorKind::NoPrimary, "the primary does not announce itself" });
+    if (term.isLost(floor)) {
+        return tl::unexpected(
+            Error { ErrorKind::LostWrite, "a failover lost what this session has written or read", 0 });
     }
-    return Route { term->primary, term->term, 0, true };
+    return {};
 }
 
-static bool isFresherChoice(const BackendState &candidate, const BackendState *best, const ZoneId &zone)
+static Expected<Route> routeToPrimary(
+    Instant now, const LogPoint &floor, const RoutingView &view, const GroupTerm &term)
 {
-    if (best == nullptr) {
-        return true;
+    if (!view.lease.liveAt(now)) {
+        return tl::unexpected(Error { ErrorKind::NoLease, "this entry is cut off from control", RetryAfterMs });
     }
-    const bool candidateNear = candidate.announcement.zone == zone;
-    const bool bestNear = best->announcement.zone == zone;
-    return candidateNear && !bestNear;
+    if (term.primary.empty()) {
+        return tl::unexpected(Error { ErrorKind::NoPrimary, "the group has no primary now", RetryAfterMs });
+    }
+    if (view.backends.find(term.primary) == nullptr) {
+        return tl::unexpected(Error { ErrorKind::NoPrimary, "the primary does not announce itself", RetryAfterMs });
+    }
+    return Route { term.primary, term.term, floor.position, true, false };
 }
 
-Expected<Route> Router::choose(Instant now, const StatementRequest &request, const ClassTarget &target,
-    const BackendTable &backends, const LeaseState &lease) const
+std::vector<const BackendState *> Router::candidates(Instant now, const StatementRequest &request,
+    const ClassTarget &target, const RoutingView &view, const BackendId &primary) const
 {
-    if (request.kind == StatementKind::Write || request.action != StatementAction::Execute) {
-        if (!lease.liveAt(now)) {
-            return tl::unexpected(Error { ErrorKind::NoLease, "this entry is cut off from control" });
+    // A replica that lags by less than this reaches the session's position while the statement waits at its home.
+    const Duration wait = std::min<Duration>(target.latencyP99 / 2, target.freshness);
+    std::vector<const BackendState *> result;
+    for (const BackendState *state : view.backends.ofGroup(request.group)) {
+        const BackendId &id = state->announcement.id;
+        if (id == primary || state->announcement.leaving || view.tried.contains(id) || !view.load.admits(now, id)) {
+            continue;
+        }
+        const Duration staleness = view.backends.staleness(now, id);
+        const bool reached = state->point >= request.floor || staleness <= EstimateSlack + wait;
+        if (reached && staleness <= target.freshness + EstimateSlack) {
+            result.push_back(state);
         }
-        return routeToPrimary(backends, lease, request.group);
     }
-    const GroupTerm *term = lease.termOf(request.group);
+    return result;
+}
+
+const BackendState *Router::pickOfTwo(const std::vector<const BackendState *> &candidates, const ReadLoad &load) const
+{
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    const BackendState *first = candidates[random_() % candidates.size()];
+    const BackendState *second = candidates[random_() % candidates.size()];
+    return load.cost(second->announcement.id) < load.cost(first->announcement.id) ? second : first;
+}
+
+const BackendState *Router::cheapest(
+    const std::vector<const BackendState *> &candidates, const ClassTarget &target, const ReadLoad &load) const
+{
+    std::vector<const BackendState *> near;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near),
+        [this](const BackendState *state) { return state->announcement.zone == zone_; });
+    const BackendState *nearest = pickOfTwo(near, load);
+    if (nearest != nullptr && load.cost(nearest->announcement.id) <= target.latencyP99 / 2) {
+        return nearest;
+    }
+    const BackendState *any = pickOfTwo(candidates, load);
+    const bool nearIsCheaper = nearest != nullptr && any != nullptr
+        && load.cost(nearest->announcement.id) <= load.cost(any->announcement.id);
+    return nearIsCheaper ? nearest : any;
+}
+
+Expected<Route> Router::choose(
+    Instant now, const StatementRequest &request, const ClassTarget &target, const RoutingView &view)
+{
+    const bool write = request.kind == StatementKind::Write || request.action != StatementAction::Execute;
+    const GroupTerm *term = view.lease.termOf(request.group);
     if (term == nullptr) {
-        return tl::unexpected(Error { ErrorKind::NoPrimary, "the group has no primary yet" });
-    }
-    const BackendState *best = nullptr;
-    for (const BackendState *state : backends.ofGroup(request.group)) {
-        const bool isPrimary = state->announcement.id == term->primary;
-        const bool reached = state->point >= request.floor;
-        const bool fresh = backends.staleness(now, state->announcement.id) <= target.freshness;
-        if (!isPrimary && !state->announcement.leaving && reached && fresh && target.freshness.count() > 0
-            && isFresherChoice(*state, best, zone_)) {
-            best = state;
+        return tl::unexpected(Error { ErrorKind::NoPrimary, "the group has no primary yet", RetryAfterMs });
+    }
+    if (const Expected<void> checked = checkFloor(request.floor, *term); !checked) {
+        return tl::unexpected(checked.error());
+    }
+    if (write || target.freshness.count() == 0 || policy_ == ReadPolicy::PrimaryOnly) {
+        return routeToPrimary(now, request.floor, view, *term);
+    }
+    const std::vector<const BackendState *> replicas = candidates(now, request, target, view, term->primary);
+    if (policy_ == ReadPolicy::RoundRobin) {
+        const std::size_t turn = turn_++ % (replicas.size() + 1);
+        if (turn == replicas.size()) {
+            return routeToPrimary(now, request.floor, view, *term);
         }
+        return Route { replicas[turn]->announcement.id, term->term, request.floor.position, false, false };
+    }
+    if (const BackendState *best = cheapest(replicas, target, view.load); best != nullptr) {
+        return Route { best->announcement.id, term->term, request.floor.position, false, false };
     }
-    if (best != nullptr) {
-        return Route { best->announcement.id, term->term, request.floor.position, false };
+    Expected<Route> route = routeToPrimary(now, request.floor, view, *term);
+    if (route) {
+        route->fallback = true;
     }
-    return routeToPrimary(backends, lease, request.group);
+    return route;
 }
 
 } // namespace daisyrelay
--- /dev/null
+++ b/unittests/routing/primaryhistorytest.cpp
@@ -0,0 +1,83 @@
+#include "daisyrelay/routing.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace daisyrelay;
+
+TEST_GROUP(PrimaryHistory) {};
+
+TEST(PrimaryHistory, APositionFromItIsNeverOlderThanAsked)
+{
+    const bool held
+        = rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &growth, std::uint16_t back) {
+              // The primary's log over time, exactly; the history only sees samples of it.
+              std::map<Instant, Position> log;
+              PrimaryHistory history;
+              Instant now { std::chrono::seconds(100) };
+              Position position = 1;
+              for (const auto &[delay, grown] : growth) {
+                  now += std::chrono::milliseconds(1 + delay);
+                  position += grown % 3;
+                  log[now] = position;
+                  history.record(now, 1, position);
+              }
+              const Instant oldest = now - std::chrono::milliseconds(back);
+              const std::optional<Position> found = history.positionSince(oldest, 1);
+              const auto then = log.upper_bound(oldest);
+              const Position needed = then == log.begin() ? 0 : std::prev(then)->second;
+              RC_ASSERT(!found || *found >= needed);
+              const bool tooOld = log.empty() || std::prev(log.end())->first < oldest + std::chrono::milliseconds(25);
+              RC_ASSERT(found || tooOld);
+          });
+    CHECK(held);
+}
+
+TEST(PrimaryHistory, ANewTermForgetsThePositionsOfTheOldOne)
+{
+    PrimaryHistory history;
+    const Instant now { std::chrono::seconds(100) };
+    history.record(now, 1, 50);
+    history.record(now + std::chrono::seconds(1), 2, 40);
+    CHECK_FALSE(history.positionSince(now, 1).has_value());
+    CHECK_EQUAL(40, history.positionSince(now, 2).value());
+}
+
+TEST_GROUP(ReadLoad)
+{
+    ReadLoad load { []() { return std::uint64_t { 0 }; } };
+    BackendId backend { "db1" };
+    Instant now { std::chrono::seconds(100) };
+};
+
+TEST(ReadLoad, AnEjectedDatabaseIsProbedByOneRequestAtATime)
+{
+    load.failed(now, backend);
+    CHECK_FALSE(load.admits(now, backend));
+    now += std::chrono::seconds(3);
+    CHECK(load.admits(now, backend));
+    load.started(backend);
+    CHECK_FALSE(load.admits(now, backend));
+    load.succeeded(backend, std::chrono::milliseconds(1));
+    CHECK(load.admits(now, backend));
+}
+
+TEST_GROUP(CheckFloor)
+{
+    GroupTerm term { { ServiceId { "s" }, GroupId { "g" } }, 3, BackendId { "db1" }, 100, { { 2, 50 }, { 3, 100 } },
+        {} };
+};
+
+TEST(CheckFloor, APositionBeyondTheEndOfItsTermIsALostWrite)
+{
+    CHECK(checkFloor({ 2, 100 }, term).error().kind == ErrorKind::LostWrite);
+    CHECK(checkFloor({ 2, 99 }, term).has_value());
+    CHECK(checkFloor({ 1, 60 }, term).error().kind == ErrorKind::LostWrite); // Lost by the failover before the last.
+    CHECK(checkFloor({ 1, 49 }, term).has_value());
+    CHECK(checkFloor({ 3, 150 }, term).has_value());
+}
+
+TEST(CheckFloor, ATermThatThisEntryHasNotHeardOfIsNotServed)
+{
+    CHECK(checkFloor({ 4, 1 }, term).error().kind == ErrorKind::NoPrimary);
+}
