Send orders again in the property of the request path

Change: callers send an order again, with its key, when its outcome was unknown or its entry died. The rest of the property is as before; only the answer to the first sending is held against 'ran: no', since a later one speaks of the later attempt.

--- a/unittests/relay/relaypropertiestest.cpp
+++ b/unittests/relay/relaypropertiestest.cpp
@@ -16,6 +16,8 @@
     std::uint64_t acknowledged = 0; ///< Highest value whose write was acknowledged.
     std::uint64_t next = 1;
     bool waiting = false;
+    std::string order; ///< The statement of the last order, which no read depends on.
+    std::string uncertain; ///< An order that may have run; it is sent again with its key.
     int entry = 0; ///< Where its request went.
 };
 
@@ -26,6 +28,8 @@
     std::uint64_t value = 0;
     std::string statement;
     std::uint64_t floor = 0; ///< What a read must see at least.
+    bool order = false;
+    bool again = false; ///< Sent before with the same key.
 };
 
 /// Sends random work through random entries while messages are lost, doubled and delayed, entries die and the primary
@@ -91,8 +95,14 @@
     Asked asked { index, pick(2) == 0, 0, "get " + own, session.acknowledged };
     std::string key;
     if (asked.write) {
+        asked.order = pick(2) == 0;
+        asked.again = asked.order && !session.uncertain.empty() && pick(3) != 0;
         asked.value = session.next++;
-        asked.statement = "put " + own + " " + std::to_string(asked.value);
+        asked.statement = "put " + (asked.order ? "order-" + own : own) + " " + std::to_string(asked.value);
+        if (asked.again) {
+            asked.statement = session.uncertain;
+        }
+        session.order = asked.order ? asked.statement : session.order;
         key = asked.statement;
         ++sent_[asked.statement];
     }
@@ -116,14 +126,17 @@
                 session.token = answer.token;
                 session.acknowledged = 0;
             }
-            if (asked->second.write && answerFor(kind).ran == Ran::No) {
+            if (asked->second.order && answerFor(kind).ran != Ran::No) {
+                session.uncertain = asked->second.statement;
+            }
+            if (asked->second.write && !asked->second.again && answerFor(kind).ran == Ran::No) {
                 ++refusedAsNotRun_[asked->second.statement];
             }
             continue;
         }
-        if (asked->second.write) {
+        if (asked->second.write && !asked->second.order) {
             session.acknowledged = std::max(session.acknowledged, asked->second.value);
-        } else {
+        } else if (!asked->second.write) {
             RC_ASSERT(std::stoull(answer.answer->resultJson) >= asked->second.floor);
         }
         session.token = answer.token;
@@ -142,7 +155,10 @@
             readAnswers();
             system.kill(killed_);
             for (Session &session : sessions_) {
-                session.waiting = session.waiting && session.entry != killed_; // Its connection broke.
+                if (session.waiting && session.entry == killed_) {
+                    session.waiting = false; // Its connection broke.
+                    session.uncertain = session.order;
+                }
             }
         }
         break;
