--- a/unittests/relay/relaytrapstest.cpp
+++ b/unittests/relay/relaytrapstest.cpp
@@ -177,15 +177,16 @@
 {
     system.lag[2] = 1;
     system.lag[3] = 1;
-    StatementRequest write;
     for (int round = 0; round < 20; ++round) {
         system.databases[1].log.push_back({ 1, "put stock " + std::to_string(round) });
         system.advance(std::chrono::milliseconds(200));
     }
     int atPrimary = 0;
     system.fate = [&](const std::string &what) { return what == "reply" ? Fate::Delay : Fate::Deliver; };
+    constexpr int Reads = 100;
     std::vector<CallId> calls;
-    for (int read = 0; read < 100; ++read) {
+    calls.reserve(Reads);
+    for (int read = 0; read < Reads; ++read) {
         calls.push_back(system.call(1 + read % 3, "get stock"));
     }
     system.settle();
