Queue by class, refuse early and judge each connection by its own progress

One FIFO per database let a flood of one class starve the others, ended overload in late failures, and a transaction kept a slot while it was idle. - A queue for each class: admission by predicted wait at the max-min fair share of the measured demand, earliest deadline first between classes, changed targets act on queued work, refusals tell when to come back. - Slots are counted by running statements; transactions leave enough connections for single statements. - Warm connections, opened ahead of demand and closed slowly; a circuit with exponential, jittered probes refuses at once while a database can not be reached; a statement is silent only in comparison with later answers.

--- a/include/daisyrelay/limits.h
+++ b/include/daisyrelay/limits.h
@@ -2,5 +2,9 @@
 #pragma once
 
 #include "daisyrelay/limits/backoff.h"
+#include "daisyrelay/limits/circuitbreaker.h"
+#include "daisyrelay/limits/classqueues.h"
 #include "daisyrelay/limits/connectionpool.h"
+#include "daisyrelay/limits/poolwork.h"
 #include "daisyrelay/limits/retrybudget.h"
+#include "daisyrelay/limits/servicetime.h"
--- /dev/null
+++ b/lib/limits/classqueues.cpp
@@ -0,0 +1,259 @@
+#include "daisyrelay/limits/classqueues.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+/// The rest of a target is left to the network and to the spread of service times.
+static constexpr double AdmittedShareOfTarget = 0.75;
+
+ClassQueues::ClassQueues(QueueOptions options) : options_(options)
+{
+}
+
+static Duration scaled(Duration value, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+static std::int64_t toRetryAfterMs(Duration wait)
+{
+    constexpr std::int64_t ShortestMs = 1;
+    constexpr std::int64_t LongestMs = 5000;
+    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(wait).count(), ShortestMs, LongestMs);
+}
+
+Instant ClassQueues::dueAt(Instant arrivedAt, const PoolWork &work) const
+{
+    return options_.admission ? std::min(arrivedAt + work.target, work.deadline) : arrivedAt;
+}
+
+std::size_t ClassQueues::aheadOf(Instant due) const
+{
+    std::size_t ahead = 0;
+    for (const auto &[classId, state] : classes_) {
+        const auto end = std::upper_bound(state.queue.begin(), state.queue.end(), due,
+            [](Instant at, const QueuedWork &queued) { return at < queued.dueAt; });
+        ahead += static_cast<std::size_t>(end - state.queue.begin());
+    }
+    return ahead;
+}
+
+Duration ClassQueues::predictedWait(Instant due, std::size_t slots) const
+{
+    Duration work {};
+    for (const auto &[classId, state] : classes_) {
+        const auto end = std::upper_bound(state.queue.begin(), state.queue.end(), due,
+            [](Instant at, const QueuedWork &queued) { return at < queued.dueAt; });
+        work += state.service.mean() * (end - state.queue.begin());
+    }
+    return work / static_cast<Duration::rep>(std::max<std::size_t>(1, slots));
+}
+
+double ClassQueues::shareOf(Instant now, const ClassId &classId, std::size_t slots) const
+{
+    std::vector<double> others;
+    for (const auto &[other, state] : classes_) {
+        if (other != classId) {
+            const double seconds = std::chrono::duration<double>(state.service.mean()).count();
+            others.push_back(state.demand.perSecond(now) * seconds);
+        }
+    }
+    std::ranges::sort(others);
+    auto remaining = static_cast<double>(std::max<std::size_t>(1, slots));
+    std::size_t claimants = others.size() + 1;
+    for (const double demand : others) {
+        if (demand * static_cast<double>(claimants) > remaining) {
+            break;
+        }
+        remaining -= demand;
+        --claimants;
+    }
+    return remaining / static_cast<double>(claimants);
+}
+
+std::optional<Error> ClassQueues::judge(Instant now, const PoolWork &work, std::size_t slots, std::size_t running)
+{
+    ClassState &state = classes_[work.classId];
+    state.demand.add(now);
+    state.target = work.target;
+    if (work.heldConnection != 0) {
+        return std::nullopt;
+    }
+    const Instant due = dueAt(now, work);
+    const Duration drain = predictedWait(Instant::max(), slots);
+    if (size_ >= options_.mostQueued) {
+        return Error { ErrorKind::QueueFull, "the queue of the database is full", toRetryAfterMs(drain) };
+    }
+    if (!options_.admission || slots == 0) {
+        return std::nullopt;
+    }
+    const Duration service = state.service.mean();
+    const Duration allowed = scaled(work.target, AdmittedShareOfTarget);
+    const std::size_t ahead = aheadOf(due);
+    if (ahead + running < slots) {
+        return std::nullopt;
+    }
+    const Duration wait = predictedWait(due, slots) + service / static_cast<Duration::rep>(slots);
+    const Duration own = scaled(service, static_cast<double>(state.queue.size()) / shareOf(now, work.classId, slots));
+    const Duration total = std::max(wait, own) + service;
+    if (now + wait + service > work.deadline) {
+        return Error { ErrorKind::Overloaded, "the wait would exceed the deadline", toRetryAfterMs(wait) };
+    }
+    // A target below what the database can do at all must not leave the slots without work.
+    if (total > allowed && ahead >= slots && !state.queue.empty()) {
+        return Error { ErrorKind::Overloaded, "the wait would exceed the target of the class",
+            toRetryAfterMs(total - allowed) };
+    }
+    return std::nullopt;
+}
+
+void ClassQueues::push(Instant now, PoolWork work)
+{
+    ClassState &state = classes_[work.classId];
+    QueuedWork queued { std::move(work), now, {} };
+    queued.dueAt = dueAt(now, queued.work);
+    const auto at = std::upper_bound(state.queue.begin(), state.queue.end(), queued.dueAt,
+        [](Instant due, const QueuedWork &other) { return due < other.dueAt; });
+    state.queue.insert(at, std::move(queued));
+    ++size_;
+}
+
+bool ClassQueues::erase(WorkId work)
+{
+    for (auto &[classId, state] : classes_) {
+        if (std::erase_if(state.queue, [work](const QueuedWork &queued) { return queued.work.id == work; }) > 0) {
+            --size_;
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<PoolWork> ClassQueues::pop(const std::function<bool(const PoolWork &)> &startable)
+{
+    ClassState *best = nullptr;
+    std::deque<QueuedWork>::iterator bestAt;
+    for (auto &[classId, state] : classes_) {
+        const auto found = std::find_if(state.queue.begin(), state.queue.end(),
+            [&startable](const QueuedWork &queued) { return startable(queued.work); });
+        if (found != state.queue.end() && (best == nullptr || found->dueAt < bestAt->dueAt)) {
+            best = &state;
+            bestAt = found;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    PoolWork work = std::move(bestAt->work);
+    best->queue.erase(bestAt);
+    --size_;
+    return work;
+}
+
+bool ClassQueues::onTimeWorkWaits(Instant now) const
+{
+    return std::ranges::any_of(classes_, [now](const auto &entry) {
+        const std::deque<QueuedWork> &queue = entry.second.queue;
+        return !queue.empty() && queue.back().dueAt >= now;
+    });
+}
+
+std::optional<Error> ClassQueues::lateError(
+    Instant now, const QueuedWork &queued, const ClassState &state, std::size_t slots, bool others) const
+{
+    const PoolWork &work = queued.work;
+    if (work.deadline <= now) {
+        return Error { ErrorKind::DeadlinePassed, "no connection was free in time" };
+    }
+    if (!options_.admission) {
+        return std::nullopt;
+    }
+    const std::int64_t retryAfter = toRetryAfterMs(predictedWait(Instant::max(), slots));
+    if (now + state.service.mean() > work.deadline) {
+        return Error { ErrorKind::DeadlinePassed, "the rest of the deadline is too short", retryAfter };
+    }
+    if (work.heldConnection == 0 && others && queued.dueAt + work.target < now) {
+        return Error { ErrorKind::Overloaded, "work that can still meet its target goes first", retryAfter };
+    }
+    return std::nullopt;
+}
+
+std::vector<RefuseWork> ClassQueues::shed(Instant now, std::size_t slots)
+{
+    std::vector<RefuseWork> refused;
+    if (size_ == 0) {
+        return refused;
+    }
+    const bool others = onTimeWorkWaits(now);
+    for (auto &[classId, state] : classes_) {
+        bool doubtful = false;
+        for (auto at = state.queue.begin(); at != state.queue.end();) {
+            // With admission nothing behind is due earlier; without it every deadline has to be looked at.
+            if (options_.admission && at->dueAt > now + state.service.mean()) {
+                break;
+            }
+            std::optional<Error> error = lateError(now, *at, state, slots, others);
+            if (!error) {
+                ++at;
+                continue;
+            }
+            doubtful = doubtful || at->work.deadline > now;
+            refused.push_back({ at->work.id, std::move(*error) });
+            at = state.queue.erase(at);
+            --size_;
+        }
+        if (doubtful) {
+            state.service.doubt();
+        }
+    }
+    return refused;
+}
+
+std::vector<WorkId> ClassQueues::takeUnbound()
+{
+    std::vector<WorkId> taken;
+    for (auto &[classId, state] : classes_) {
+        std::erase_if(state.queue, [&taken](const QueuedWork &queued) {
+            if (queued.work.heldConnection != 0) {
+                return false;
+            }
+            taken.push_back(queued.work.id);
+            return true;
+        });
+    }
+    size_ -= taken.size();
+    return taken;
+}
+
+void ClassQueues::setTarget(const ClassId &classId, Duration target)
+{
+    const auto found = classes_.find(classId);
+    if (found == classes_.end() || found->second.target == target) {
+        return;
+    }
+    found->second.target = target;
+    for (QueuedWork &queued : found->second.queue) {
+        queued.work.target = target;
+        queued.dueAt = dueAt(queued.arrivedAt, queued.work);
+    }
+    std::ranges::stable_sort(found->second.queue, {}, &QueuedWork::dueAt);
+}
+
+void ClassQueues::measured(const ClassId &classId, Duration time)
+{
+    classes_[classId].service.add(time);
+}
+
+ServiceTime ClassQueues::serviceTime(const ClassId &classId) const
+{
+    const auto found = classes_.find(classId);
+    return found == classes_.end() ? ServiceTime {} : found->second.service;
+}
+
+std::size_t ClassQueues::size() const
+{
+    return size_;
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/unittests/limits/circuitbreakertest.cpp
@@ -0,0 +1,60 @@
+#include "daisyrelay/limits.h"
+
+#include <random>
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+
+TEST_GROUP(CircuitBreaker) {};
+
+TEST(CircuitBreaker, OpensOnlyAfterFailuresInARowAndNeverForLongerThanTheLongestDelay)
+{
+    CHECK(rc::check([](std::uint64_t seed, const std::vector<std::uint8_t> &steps) {
+        std::mt19937_64 random(seed);
+        const CircuitOptions options;
+        CircuitBreaker circuit(std::ref(random), options);
+        Instant now { std::chrono::seconds(1) };
+        std::uint32_t inARow = 0;
+        for (const std::uint8_t step : steps) {
+            const CircuitBreaker::State before = circuit.state(now);
+            if (step % 3 == 0) {
+                circuit.succeeded();
+                inARow = 0;
+                RC_ASSERT(circuit.state(now) == CircuitBreaker::State::Closed);
+            } else if (step % 3 == 1) {
+                circuit.failed(now);
+                ++inARow;
+                if (before == CircuitBreaker::State::HalfOpen) {
+                    RC_ASSERT(circuit.state(now) == CircuitBreaker::State::Open);
+                }
+            } else {
+                now += std::chrono::milliseconds(step);
+            }
+            RC_ASSERT(circuit.state(now) == CircuitBreaker::State::Closed || inARow >= options.failuresToOpen);
+            RC_ASSERT(circuit.retryAfter(now) <= options.delay.longest);
+        }
+        now += options.delay.longest;
+        RC_ASSERT(circuit.state(now) != CircuitBreaker::State::Open);
+    }));
+}
+
+/// Each failure of a probe makes the next one rarer, so a dead database costs a bounded number of attempts.
+TEST(CircuitBreaker, TrapFourteenADeadDatabaseIsProbedMoreAndMoreRarely)
+{
+    CircuitBreaker circuit([]() { return std::uint64_t { 0 }; });
+    Instant now { std::chrono::seconds(1) };
+    int probes = 0;
+    const Instant end = now + std::chrono::seconds(60);
+    circuit.trip(now);
+    while (now < end) {
+        now += std::chrono::milliseconds(10);
+        if (circuit.state(now) == CircuitBreaker::State::HalfOpen) {
+            ++probes;
+            circuit.failed(now);
+        }
+    }
+    CHECK(probes >= 20);
+    CHECK(probes <= 40);
+}
