Judge a backend connection before it is trusted, and discard answers of other requests

A connection that died while idle took the next statement with it and made its outcome unknown. After 5 s without use a connection is asked for its status first; if that fails, the statement is refused as not sent, and the connection closed. TCP keepalive and a user timeout of 2 s find peers that vanished.

--- a/lib/net/backendio.cpp
+++ b/lib/net/backendio.cpp
@@ -5,7 +5,9 @@
 namespace daisyrelay {
 
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+/// The last resort against a server that is silent as a whole; a single silent connection is judged by its pool.
 static constexpr Duration LongestStatement = std::chrono::minutes(5);
+static constexpr Duration ProbeTimeout = std::chrono::milliseconds(300);
 static constexpr std::chrono::milliseconds WatchWait(200);
 
 BackendIo::BackendIo(Duty &duty, Counters &counters, Hooks hooks)
@@ -16,7 +18,7 @@
 void BackendIo::connect(const ConnectBackend &action)
 {
     auto connection = std::make_shared<HttpConnection>(duty_.context());
-    connections_[action.connection] = connection;
+    connections_[action.connection] = { connection, Clock::now() };
     connection->connect(action.address, ConnectTimeout, [this, id = action.connection, connection](bool connected) {
         if (!connections_.contains(id)) {
             return;
@@ -42,6 +44,7 @@
             drop(id);
             return;
         }
+        connections_.at(id).lastUse = Clock::now();
         hooks_.onOpened(id);
     });
 }
@@ -52,7 +55,7 @@
     if (found == connections_.end()) {
         return;
     }
-    const std::shared_ptr<HttpConnection> connection = found->second;
+    const std::shared_ptr<HttpConnection> connection = found->second.http;
     connections_.erase(found);
     connection->close();
     hooks_.onClosed(id);
@@ -64,43 +67,96 @@
     if (found == connections_.end()) {
         return;
     }
-    const std::shared_ptr<HttpConnection> connection = found->second;
+    const std::shared_ptr<HttpConnection> connection = found->second.http;
     connections_.erase(found);
     connection->close();
 }
 
+void BackendIo::setTrustedIdle(Duration trustedIdle)
+{
+    trustedIdle_ = trustedIdle;
+}
+
+static BackendReply replyTo(const SendStatement &action, BackendOutcome outcome)
+{
+    BackendReply reply;
+    reply.connection = action.connection;
+    reply.work = action.work;
+    reply.outcome = outcome;
+    return reply;
+}
+
 void BackendIo::send(const SendStatement &action)
 {
     const auto found = connections_.find(action.connection);
-    BackendReply lost;
-    lost.connection = action.connection;
-    lost.work = action.work;
     if (found == connections_.end()) {
-        hooks_.onReply(lost);
+        hooks_.onReply(replyTo(action, BackendOutcome::Lost));
         return;
     }
+    const std::shared_ptr<HttpConnection> connection = found->second.http;
+    const Instant now = Clock::now();
+    const bool trusted = now - std::exchange(found->second.lastUse, now) < trustedIdle_;
+    // In a transaction the server would have to be asked on its own connection between two statements; TCP's user
+    // timeout judges those.
+    if (trusted || !action.statement.transaction.empty()) {
+        transmit(action, connection);
+        return;
+    }
+    probe(action, connection);
+}
+
+void BackendIo::probe(const SendStatement &action, const std::shared_ptr<HttpConnection> &connection)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/status";
+    connection->request(request, ProbeTimeout, [this, action, connection](std::optional<HttpResponse> response) {
+        if (!connections_.contains(action.connection)) {
+            return;
+        }
+        if (response && parseStatusPoint(*response)) {
+            transmit(action, connection);
+            return;
+        }
+        counters_.add("connections.died-idle");
+        // Nothing of the statement was sent, so it is refused and not lost.
+        hooks_.onReply(replyTo(action, BackendOutcome::Busy));
+        drop(action.connection);
+    });
+}
+
+void BackendIo::transmit(const SendStatement &action, const std::shared_ptr<HttpConnection> &connection)
+{
     HttpRequest request;
     request.method = "POST";
     request.target = "/statements";
     request.body = backendStatementBody(action.statement);
-    found->second->request(request, LongestStatement,
-        [this, lost, requestId = action.statement.requestId](std::optional<HttpResponse> response) {
-            if (!response) {
-                hooks_.onReply(lost);
-                drop(lost.connection);
-                return;
-            }
-            Expected<BackendReply> reply = parseBackendReply(*response, requestId);
-            if (!reply) {
-                counters_.add("answers.mismatched");
-                hooks_.onReply(lost);
-                drop(lost.connection);
-                return;
-            }
-            reply->connection = lost.connection;
-            reply->work = lost.work;
-            hooks_.onReply(std::move(*reply));
-        });
+    connection->request(request, LongestStatement,
+        [this, lost = replyTo(action, BackendOutcome::Lost), requestId = action.statement.requestId](
+            const std::optional<HttpResponse> &response) { onAnswer(lost, requestId, response); });
+}
+
+void BackendIo::onAnswer(
+    const BackendReply &lost, const std::string &requestId, const std::optional<HttpResponse> &response)
+{
+    if (!response) {
+        hooks_.onReply(lost);
+        drop(lost.connection);
+        return;
+    }
+    Expected<BackendReply> reply = parseBackendReply(*response, requestId);
+    if (!reply) {
+        counters_.add("answers.mismatched");
+        hooks_.onReply(lost);
+        drop(lost.connection);
+        return;
+    }
+    if (const auto found = connections_.find(lost.connection); found != connections_.end()) {
+        found->second.lastUse = Clock::now();
+    }
+    reply->connection = lost.connection;
+    reply->work = lost.work;
+    hooks_.onReply(std::move(*reply));
 }
 
 void BackendIo::watch(const WatchReplica &action)
--- a/lib/net/backendio.h
+++ b/lib/net/backendio.h
@@ -29,15 +29,27 @@
     void send(const SendStatement &action);
     void watch(const WatchReplica &action);
 
+    /// Changes after how long without use a connection is asked for its status before it carries a statement.
+    void setTrustedIdle(Duration trustedIdle);
+
 private:
+    struct BackendConnection {
+        std::shared_ptr<HttpConnection> http;
+        Instant lastUse;
+    };
+
     void verify(ConnectionId id, const std::shared_ptr<HttpConnection> &connection);
     void drop(ConnectionId id);
+    void probe(const SendStatement &action, const std::shared_ptr<HttpConnection> &connection);
+    void transmit(const SendStatement &action, const std::shared_ptr<HttpConnection> &connection);
+    void onAnswer(const BackendReply &lost, const std::string &requestId, const std::optional<HttpResponse> &response);
     void askReplica(const WatchReplica &action, const std::shared_ptr<HttpConnection> &connection);
 
     Duty &duty_;
     Counters &counters_;
     Hooks hooks_;
-    std::map<ConnectionId, std::shared_ptr<HttpConnection>> connections_;
+    Duration trustedIdle_ = std::chrono::seconds(5);
+    std::map<ConnectionId, BackendConnection> connections_;
     std::map<BackendId, std::shared_ptr<HttpConnection>> watchers_;
 };
 
--- a/lib/net/httpconnection.cpp
+++ b/lib/net/httpconnection.cpp
@@ -1,5 +1,7 @@
 #include "daisyrelay/net/httpconnection.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -14,6 +16,8 @@
 using ErrorCode = boost::system::error_code;
 
 static constexpr unsigned HttpVersion = 11;
+static constexpr std::chrono::seconds KeepAliveIdle(5);
+static constexpr std::chrono::milliseconds UnacknowledgedLimit(2000);
 
 struct HttpConnection::State {
     explicit State(asio::io_context &context) : stream(context)
@@ -44,6 +48,18 @@
     close();
 }
 
+/// Lets the kernel find a peer that vanished without closing: by probes while idle, by time while data waits.
+static void setLiveness(tcp::socket &socket)
+{
+    using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    ErrorCode ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(Idle(static_cast<int>(KeepAliveIdle.count())), ignored);
+    socket.set_option(UserTimeout(static_cast<int>(UnacknowledgedLimit.count())), ignored);
+}
+
 void HttpConnection::connect(const Endpoint &address, Duration timeout, Connected done)
 {
     ErrorCode error;
@@ -56,8 +72,7 @@
     state_->stream.async_connect(
         tcp::endpoint(ip, address.port), [state = state_, done = std::move(done)](const ErrorCode &failure) {
             if (!failure) {
-                ErrorCode ignored;
-                state->stream.socket().set_option(tcp::no_delay(true), ignored);
+                setLiveness(state->stream.socket());
                 state->open = true;
             }
             done(!failure);
