Run transactions on slots, follow changed targets and keep a warm connection at each home

The relay now uses what the pool offers: an idle transaction keeps its connection but no slot, and its statements wait for one; a changed class target acts on queued work; each home keeps one connection open; a silent connection is given up while its database stays in use; a lost answer counts for the circuit. The policies fixed-shares and no-admission reach the pools. A refused statement leaves its transaction open.

--- a/include/daisyrelay/limits/classqueues.h
+++ b/include/daisyrelay/limits/classqueues.h
@@ -41,8 +41,8 @@
     /// Takes out the work that can not end in time any more.
     std::vector<RefuseWork> shed(Instant now, std::size_t slots);
 
-    /// Takes out all work that holds no connection.
-    std::vector<WorkId> takeUnbound();
+    /// Takes out the work that \p chosen accepts.
+    std::vector<WorkId> takeIf(const std::function<bool(const PoolWork &)> &chosen);
 
     /// Changes the target of a class, for the work that is queued too.
     void setTarget(const ClassId &classId, Duration target);
--- a/include/daisyrelay/limits/connectionpool.h
+++ b/include/daisyrelay/limits/connectionpool.h
@@ -104,6 +104,7 @@
     void answered(Instant now, Connection &connection);
     void refuse(WorkId work, Error error);
     void refuseUnavailable(Instant now);
+    void refuseBoundTo(ConnectionId connection);
     void closeIdleAbove(std::size_t limit);
     void reportSilent(Instant now);
     void closeSurplus(Instant now);
--- a/include/daisyrelay/relay/relaycore.h
+++ b/include/daisyrelay/relay/relaycore.h
@@ -19,6 +19,8 @@
     ReadPolicy readPolicy = ReadPolicy::CheapestFresh;
     std::vector<VmId> keepers {}; ///< The VMs that keep idempotency keys; the same on every entry.
     bool firstStart = false; ///< This VM has never run before, so that as a keeper it has nothing to remember.
+    bool admission = true; ///< False: refuse nothing before its deadline; a baseline for comparison.
+    std::uint32_t fixedShares = 0; ///< Entries that split each database evenly instead of homes; a baseline.
     std::uint64_t seed = 0; ///< Of the choices between equals and of jitter.
 };
 
--- a/lib/limits/classqueues.cpp
+++ b/lib/limits/classqueues.cpp
@@ -210,12 +210,12 @@
     return refused;
 }
 
-std::vector<WorkId> ClassQueues::takeUnbound()
+std::vector<WorkId> ClassQueues::takeIf(const std::function<bool(const PoolWork &)> &chosen)
 {
     std::vector<WorkId> taken;
     for (auto &[classId, state] : classes_) {
-        std::erase_if(state.queue, [&taken](const QueuedWork &queued) {
-            if (queued.work.heldConnection != 0) {
+        std::erase_if(state.queue, [&taken, &chosen](const QueuedWork &queued) {
+            if (!chosen(queued.work)) {
                 return false;
             }
             taken.push_back(queued.work.id);
--- a/lib/limits/connectionpool.cpp
+++ b/lib/limits/connectionpool.cpp
@@ -130,11 +130,20 @@
     if (circuit_.state(now) != CircuitBreaker::State::Open) {
         return;
     }
-    for (const WorkId work : queues_.takeUnbound()) {
+    const auto unbound = [](const PoolWork &work) { return work.heldConnection == 0; };
+    for (const WorkId work : queues_.takeIf(unbound)) {
         refuse(work, unavailableError(circuit_.retryAfter(now)));
     }
 }
 
+void ConnectionPool::refuseBoundTo(ConnectionId connection)
+{
+    const auto bound = [connection](const PoolWork &work) { return work.heldConnection == connection; };
+    for (const WorkId work : queues_.takeIf(bound)) {
+        refuse(work, { ErrorKind::TransactionExpired, "the connection of the transaction is gone" });
+    }
+}
+
 void ConnectionPool::connectionClosed(Instant now, ConnectionId connection)
 {
     const auto found = connections_.find(connection);
@@ -143,6 +152,7 @@
     }
     const Use use = found->second.use;
     connections_.erase(found);
+    refuseBoundTo(connection);
     if (use == Use::Busy) {
         --running_;
         circuit_.failed(now);
@@ -199,6 +209,7 @@
     }
     running_ -= busy ? 1 : 0;
     connections_.erase(found);
+    refuseBoundTo(connection);
     actions_.emplace_back(CloseConnection { connection });
     if (end == ConnectionEnd::Failed) {
         circuit_.failed(now);
--- a/lib/net/entryruntime.cpp
+++ b/lib/net/entryruntime.cpp
@@ -1,5 +1,6 @@
 #include "entryruntime.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <random>
 
@@ -53,6 +54,10 @@
     options.bootId = std::to_string(std::random_device()());
     options.transactionIdle = settings.transactionIdle;
     options.readPolicy = readPolicyOf(settings.policy);
+    options.admission = settings.policy != Policy::NoAdmission;
+    if (settings.policy == Policy::FixedShares) {
+        options.fixedShares = static_cast<std::uint32_t>(std::max<std::size_t>(1, settings.seeds.size()));
+    }
     options.keepers = controlVmsOf(settings);
     options.firstStart = settings.control && isEmptyFolder(settings.dataFolder);
     options.seed = std::random_device()();
--- a/lib/relay/relaycaller.cpp
+++ b/lib/relay/relaycaller.cpp
@@ -127,7 +127,7 @@
         fail(now, operation, makeError(ErrorKind::NoPrimary, "the home of the primary is changing", RetryAfterMs));
         return;
     }
-    if (grant->entry.empty() || grant->entry == options_.vm || operation.runHere) {
+    if (grant->entry.empty() || grant->entry == options_.vm || operation.runHere || options_.fixedShares > 0) {
         runHere(now, operation);
         return;
     }
@@ -270,6 +270,10 @@
 {
     Operation operation = operations_.take(id);
     leaveLoad(operation);
+    if (OpenTransaction *transaction = transactions_.find(operation.request.transaction);
+        transaction != nullptr && transaction->running == id) {
+        transaction->running = 0; // Refused while it waited for a slot; the transaction goes on.
+    }
     if (operation.inFallback) {
         leaveFallback(now, operation);
     }
--- a/lib/relay/relaycore.cpp
+++ b/lib/relay/relaycore.cpp
@@ -81,13 +81,14 @@
     impl_->setLease(now, lease);
 }
 
-void RelayCore::onConfiguration(Instant /*now*/, std::uint64_t version, const Configuration &configuration)
+void RelayCore::onConfiguration(Instant now, std::uint64_t version, const Configuration &configuration)
 {
     if (version < impl_->configVersion_) {
         return;
     }
     impl_->configVersion_ = version;
     impl_->configuration_ = configuration;
+    impl_->retarget(now);
 }
 
 void RelayCore::drain(Instant /*now*/)
--- a/lib/relay/relayhome.cpp
+++ b/lib/relay/relayhome.cpp
@@ -111,7 +111,9 @@
     operation.stage = OperationStage::Queued;
     const BackendId backend = operation.route.backend;
     ConnectionPool &pool = poolOf(backend);
-    pool.submit(now, { operation.id, operation.request.classId, operation.deadline, operation.target.latencyP99 });
+    pool.submit(now,
+        { operation.id, operation.request.classId, operation.deadline, operation.target.latencyP99,
+            operation.request.action == StatementAction::Begin, 0 });
     drainPool(now, backend);
 }
 
--- a/lib/relay/relayimpl.h
+++ b/lib/relay/relayimpl.h
@@ -53,6 +53,9 @@
 
     // relaytimers.cpp: time and leases.
     void setLease(Instant now, const LeaseState &lease);
+    /// Applies the targets of the configuration to the work that waits.
+    void retarget(Instant now);
+
     void tick(Instant now);
 
     RelayOptions options_;
@@ -108,7 +111,8 @@
     void beginSucceeded(Instant now, Operation &operation);
     void writeSucceeded(Instant now, Operation &operation);
     void notRun(Instant now, Operation &operation, BackendOutcome outcome);
-    void releaseConnection(Instant now, Operation &operation, bool reusable);
+    void releaseConnection(Instant now, Operation &operation, ConnectionEnd end);
+    void startWork(Instant now, const BackendId &backend, const StartWork &start);
 
     void routeToHolder(Instant now, Operation &operation);
     void runInTransaction(Instant now, Operation &operation);
--- a/lib/relay/relaypools.cpp
+++ b/lib/relay/relaypools.cpp
@@ -41,16 +41,11 @@
             connections_.erase(close->connection);
             actions_.emplace_back(DisconnectBackend { close->connection });
         } else if (const auto *start = std::get_if<StartWork>(&action); start != nullptr) {
-            Operation *operation = operations_.find(start->work);
-            assert(operation != nullptr && "the pool may only start work that is open");
-            // The lease is checked when the statement leaves, however long it waited.
-            if (operation->route.toPrimary && !mayAcknowledge(now, operation->request.group, operation->route.term)) {
-                pool.finish(now, start->connection, true);
-                fail(now, *operation, whyNotAcknowledged(now));
-                drainPool(now, backend);
-                continue;
-            }
-            send(now, *operation, start->connection);
+            startWork(now, backend, *start);
+        } else if (const auto *silent = std::get_if<SilentConnection>(&action); silent != nullptr) {
+            counters_.add("connections.silent");
+            replied(now, { silent->connection, silent->work, BackendOutcome::Lost, "", {} });
+            failingSince_.erase(backend); // Other statements were answered meanwhile, so the database is well.
         } else if (const auto *refuse = std::get_if<RefuseWork>(&action); refuse != nullptr) {
             Operation *operation = operations_.find(refuse->work);
             assert(operation != nullptr && "the pool may only refuse work that is open");
@@ -59,6 +54,37 @@
     }
 }
 
+void RelayCore::Impl::startWork(Instant now, const BackendId &backend, const StartWork &start)
+{
+    Operation *operation = operations_.find(start.work);
+    assert(operation != nullptr && "the pool may only start work that is open");
+    const TransactionId transaction = operation->request.transaction;
+    const bool rollsBack = operation->request.action == StatementAction::Rollback;
+    // The lease is checked when the statement leaves, however long it waited.
+    if (!operation->route.toPrimary || rollsBack
+        || mayAcknowledge(now, operation->request.group, operation->route.term)) {
+        send(now, *operation, start.connection);
+        return;
+    }
+    fail(now, *operation, whyNotAcknowledged(now));
+    if (!transaction.empty()) {
+        closeTransaction(now, transaction, { ErrorKind::TransactionLost, "the primary may have been replaced", 0 });
+        return;
+    }
+    poolOf(backend).finish(now, start.connection, ConnectionEnd::Unused);
+    drainPool(now, backend);
+}
+
+void RelayCore::Impl::retarget(Instant now)
+{
+    for (auto &[backend, pool] : pools_) {
+        for (const auto &[classId, target] : configuration_.classes) {
+            pool.setTarget(now, classId, target.latencyP99);
+        }
+        drainPool(now, backend);
+    }
+}
+
 void RelayCore::Impl::connectionOpened(Instant now, ConnectionId connection)
 {
     const auto found = connections_.find(connection);
@@ -93,7 +119,7 @@
     drainPool(now, backend);
 }
 
-void RelayCore::Impl::releaseConnection(Instant now, Operation &operation, bool reusable)
+void RelayCore::Impl::releaseConnection(Instant now, Operation &operation, ConnectionEnd end)
 {
     running_.erase(operation.connection);
     const TransactionId &id = operation.request.transaction;
@@ -101,14 +127,16 @@
         transaction->running = 0;
         transaction->lastUse = now;
         const bool commits = operation.request.action == StatementAction::Commit;
-        if (reusable && operation.request.action == StatementAction::Execute) {
+        if (end == ConnectionEnd::Reusable && operation.request.action == StatementAction::Execute) {
+            poolOf(operation.route.backend).hold(now, operation.connection);
+            drainPool(now, operation.route.backend);
             return;
         }
         transactions_.close(id,
             tl::unexpected(commits ? Error { ErrorKind::OutcomeUnknown, "its commit was not answered", 0 }
                                    : Error { ErrorKind::TransactionExpired, "it was rolled back", 0 }));
     }
-    poolOf(operation.route.backend).finish(now, operation.connection, reusable);
+    poolOf(operation.route.backend).finish(now, operation.connection, end);
     drainPool(now, operation.route.backend);
 }
 
@@ -118,16 +146,22 @@
         const BackendId &backend = state->announcement.id;
         const HomeGrant *grant = lease_.grantOf(backend);
         std::size_t connections = 0;
-        if (grant != nullptr) {
+        std::size_t slots = state->announcement.slots;
+        std::size_t warm = 0;
+        if (options_.fixedShares > 0) {
+            connections = std::max<std::size_t>(1, state->announcement.connections / options_.fixedShares);
+            slots = std::max<std::size_t>(1, slots / options_.fixedShares);
+        } else if (grant != nullptr) {
             connections = grant->fixedConnections;
             if (grant->entry == options_.vm && lease_.liveAt(now)) {
                 connections += grant->leasedConnections;
+                warm = 1;
             }
             if (watched_.contains(backend)) {
                 connections -= std::min(connections, WatchConnections);
             }
         }
-        poolOf(backend).setLimits(now, connections, std::min<std::size_t>(connections, state->announcement.slots));
+        poolOf(backend).setLimits(now, connections, std::min(connections, slots), std::min(connections, warm));
     }
 }
 
@@ -137,7 +171,13 @@
     if (found != pools_.end()) {
         return found->second;
     }
-    return pools_.try_emplace(backend, [this]() { return nextConnection_++; }).first->second;
+    PoolOptions options;
+    options.queue.admission = options_.admission;
+    options.random = random_;
+    return pools_
+        .try_emplace(
+            backend, [this]() { return nextConnection_++; }, std::move(options))
+        .first->second;
 }
 
 Endpoint RelayCore::Impl::addressOf(const BackendId &backend) const
--- a/lib/relay/relayreplies.cpp
+++ b/lib/relay/relayreplies.cpp
@@ -13,19 +13,19 @@
     return outcome != BackendOutcome::Succeeded && outcome != BackendOutcome::Failed && outcome != BackendOutcome::Lost;
 }
 
-/// Returns whether another statement may use the connection. The end of a transaction must be certain for that.
-static bool isReusable(const StatementRequest &request, BackendOutcome outcome)
+/// Tells whether another statement may use the connection. The end of a transaction must be certain for that.
+static ConnectionEnd connectionEndOf(const StatementRequest &request, BackendOutcome outcome)
 {
     const bool endsOrBegins = request.action != StatementAction::Execute;
     switch (outcome) {
     case BackendOutcome::Succeeded:
-        return true;
+        return ConnectionEnd::Reusable;
     case BackendOutcome::Lost:
-        return false;
+        return ConnectionEnd::Failed;
     case BackendOutcome::Failed:
-        return !endsOrBegins;
+        return endsOrBegins ? ConnectionEnd::Abandoned : ConnectionEnd::Reusable;
     default:
-        return request.transaction.empty();
+        return request.transaction.empty() ? ConnectionEnd::Unused : ConnectionEnd::Abandoned;
     }
 }
 
@@ -47,7 +47,7 @@
         return;
     }
     operation->stage = OperationStage::Routing;
-    releaseConnection(now, *operation, isReusable(operation->request, reply.outcome));
+    releaseConnection(now, *operation, connectionEndOf(operation->request, reply.outcome));
     if (reply.outcome == BackendOutcome::Failed) {
         const bool commits = operation->request.action == StatementAction::Commit;
         fail(
@@ -104,7 +104,7 @@
         = !operation.request.transaction.empty() && operation.request.action == StatementAction::Execute;
     const Instant sentAt = operation.sentAt;
     operation.stage = OperationStage::Routing;
-    releaseConnection(now, operation, !openTransaction || current);
+    releaseConnection(now, operation, !openTransaction || current ? ConnectionEnd::Reusable : ConnectionEnd::Abandoned);
     backends_.observe(now, operation.route.backend, reply.point);
     if (operation.route.toPrimary && current && reply.point.term == operation.route.term) {
         backends_.measurePrimary(now, sentAt, group, reply.point);
@@ -129,8 +129,12 @@
     transactions_.open(id,
         { operation.request.group, operation.request.classId, operation.target, operation.route.backend,
             operation.connection, 0, operation.route.term, now });
+    const BackendId backend = operation.route.backend;
+    const ConnectionId connection = operation.connection;
     const StatementResult result = operation.result;
     finish(now, operation.id, result);
+    poolOf(backend).hold(now, connection);
+    drainPool(now, backend);
 }
 
 void RelayCore::Impl::writeSucceeded(Instant now, Operation &operation)
--- a/lib/relay/relaytimers.cpp
+++ b/lib/relay/relaytimers.cpp
@@ -80,7 +80,7 @@
         failingSince_.emplace(operation.route.backend, operation.sentAt);
         counters_.add("statements.timed-out");
         operation.stage = OperationStage::Routing;
-        releaseConnection(now, operation, false);
+        releaseConnection(now, operation, ConnectionEnd::Abandoned);
         [[fallthrough]];
     case OperationStage::Forwarded:
     case OperationStage::Replicating:
@@ -126,7 +126,7 @@
             poolOf(operation->route.backend).cancel(now, id);
         } else if (operation->stage == OperationStage::Sent) {
             operation->stage = OperationStage::Routing;
-            releaseConnection(now, *operation, false);
+            releaseConnection(now, *operation, ConnectionEnd::Abandoned);
             error = { ErrorKind::OutcomeUnknown, "the primary was replaced while the statement ran", 0 };
         } else if (operation->stage == OperationStage::Replicating) {
             error = { ErrorKind::OutcomeUnknown, "the primary was replaced before the write was replicated", 0 };
--- a/lib/relay/relaytransactions.cpp
+++ b/lib/relay/relaytransactions.cpp
@@ -75,7 +75,12 @@
     operation.request.classId = transaction->classId;
     operation.target = transaction->target;
     operation.route = Route { transaction->backend, transaction->term, 0, true, false };
-    send(now, operation, transaction->connection);
+    operation.stage = OperationStage::Queued;
+    const BackendId backend = transaction->backend;
+    poolOf(backend).submit(now,
+        { operation.id, operation.request.classId, operation.deadline, operation.target.latencyP99, false,
+            transaction->connection });
+    drainPool(now, backend);
 }
 
 void RelayCore::Impl::closeTransaction(Instant now, const TransactionId &id, Error end)
