Make control durable and its consensus whole

Cause: the control VMs kept their log in memory; a restart forgot votes and accepted configuration, any VM could vote with an empty disk, and a cut-off one raised the term.

A VM whose disk holds less than it promised takes a new incarnation and is a learner until it has caught up. Answers that promise something leave only after the sync; one sync serves all waiting messages.

--- a/include/daisyrelay/base/errorkind.h
+++ b/include/daisyrelay/base/errorkind.h
@@ -47,6 +47,8 @@
     ChangeOutcomeUnknown,
     VersionConflict,
     InvalidConfig,
+    StorageCorrupt,
+    StorageFailed,
     Internal,
 };
 
--- /dev/null
+++ b/include/daisyrelay/consensus/raftoptions.h
@@ -0,0 +1,27 @@
+// Durations and limits of the consensus among the control VMs.
+#pragma once
+
+#include "daisyrelay/base.h"
+
+#include <vector>
+
+namespace daisyrelay {
+
+struct RaftOptions {
+    VmId self;
+    std::vector<VmId> controlVms; ///< The first members, and those that may join by themselves.
+    std::uint64_t seed = 1; ///< Draws election timeouts and incarnations; must differ at each start.
+    Duration heartbeat = std::chrono::milliseconds(50);
+    Duration electionTimeout = std::chrono::milliseconds(300); ///< The shortest; the longest is twice this.
+    Duration storageRetry = std::chrono::seconds(1); ///< Between attempts to write to a disk that failed.
+    std::size_t snapshotEntries = 1000; ///< A snapshot is due after this many entries,
+    std::size_t snapshotBytes = std::size_t { 4 } * 1024 * 1024; ///< or this many bytes of commands.
+    std::size_t keptEntries = 100; ///< Entries kept before a snapshot for followers that are a little behind.
+    std::size_t appendEntries = 64; ///< The most entries in one message,
+    std::size_t appendBytes = std::size_t { 512 } * 1024; ///< and the most bytes after the first entry.
+    std::size_t chunkBytes = std::size_t { 256 } * 1024; ///< Of a snapshot in one message.
+    std::size_t largestCommand = std::size_t { 1024 } * 1024;
+    std::size_t uncommittedEntries = 1024; ///< A leader refuses proposals while more wait for a quorum.
+};
+
+} // namespace daisyrelay
--- a/include/daisyrelay/net.h
+++ b/include/daisyrelay/net.h
@@ -6,3 +6,4 @@
 #include "daisyrelay/net/httpconnection.h"
 #include "daisyrelay/net/httpserver.h"
 #include "daisyrelay/net/httptypes.h"
+#include "daisyrelay/net/posixfilesystem.h"
--- a/include/daisyrelay/storage.h
+++ b/include/daisyrelay/storage.h
@@ -1,4 +1,6 @@
 // Public header of the storage library: the durable state of a control VM.
 #pragma once
 
+#include "daisyrelay/storage/filesystem.h"
 #include "daisyrelay/storage/raftstorage.h"
+#include "daisyrelay/storage/recordframe.h"
--- a/include/daisyrelay/wire.h
+++ b/include/daisyrelay/wire.h
@@ -7,4 +7,5 @@
 #include "daisyrelay/wire/leasemessages.h"
 #include "daisyrelay/wire/peermessage.h"
 #include "daisyrelay/wire/raftmessages.h"
+#include "daisyrelay/wire/raftstate.h"
 #include "daisyrelay/wire/statement.h"
--- a/include/daisyrelay/wire/codec.h
+++ b/include/daisyrelay/wire/codec.h
@@ -21,4 +21,16 @@
 /// \returns ErrorKind::BadRequest if \p bytes are not one whole command.
 Expected<ControlCommand> decodeControlCommand(std::string_view bytes);
 
+/// The largest snapshot or log record that is stored or sent, in bytes.
+constexpr std::size_t LargestStoredValue = 64 * 1024 * 1024;
+
+std::string encodeMembership(const Membership &membership);
+Expected<Membership> decodeMembership(std::string_view bytes);
+
+std::string encodeRaftSnapshot(const RaftSnapshot &snapshot);
+Expected<RaftSnapshot> decodeRaftSnapshot(std::string_view bytes);
+
+std::string encodeLogRecord(const LogRecord &record);
+Expected<LogRecord> decodeLogRecord(std::string_view bytes);
+
 } // namespace daisyrelay
--- a/include/daisyrelay/wire/raftmessages.h
+++ b/include/daisyrelay/wire/raftmessages.h
@@ -1,27 +1,10 @@
 // Messages of the consensus among the control VMs.
 #pragma once
 
-#include "daisyrelay/base.h"
-
-#include <vector>
+#include "daisyrelay/wire/raftstate.h"
 
 namespace daisyrelay {
 
-/// One entry of the replicated log; the command is opaque to consensus.
-struct LogEntry {
-    Term term = 0;
-    std::uint64_t index = 0;
-    std::string command;
-
-    bool operator==(const LogEntry &) const = default;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(term, index, command);
-    }
-};
-
 enum class RaftMessageKind : std::uint8_t {
     PreVote,
     PreVoteAnswer,
@@ -31,6 +14,15 @@
     AppendAnswer,
     InstallSnapshot,
     InstallSnapshotAnswer,
+    Hello, ///< A VM that has started asks what the others know about it.
+    HelloAnswer,
+};
+
+/// How much of the cluster's past a control VM holds.
+enum class RaftStanding : std::uint8_t {
+    Empty, ///< Nothing: the first start ever, or a lost disk.
+    Genesis, ///< The first membership, but no vote and no entry yet.
+    Live,
 };
 
 /// One message between control VMs; the fields that a kind does not use stay zero.
@@ -38,19 +30,24 @@
     RaftMessageKind kind = RaftMessageKind::Append;
     VmId from;
     VmId to;
-    Term term = 0;
-    std::uint64_t lastIndex = 0; ///< Votes: last log index. Append: index before the entries. Answers: match index.
-    Term lastTerm = 0; ///< Votes: last log term. Append: term before the entries.
+    std::uint64_t incarnation = 0; ///< Of the sender.
+    Term term = 0; ///< PreVote: the term that the sender would stand in.
+    std::uint64_t lastIndex = 0; ///< Votes, Hello: last log index. Append: index before the entries. Answers: match.
+    Term lastTerm = 0; ///< Belongs to lastIndex.
     std::uint64_t commit = 0;
-    bool granted = false; ///< Votes: granted. Append answers: accepted.
-    std::uint64_t round = 0; ///< Numbers heartbeats, for read index and the leader lease.
+    bool granted = false; ///< Votes: granted. Append answers: accepted. HelloAnswer: the asker lost what it stored.
+    std::uint64_t round = 0; ///< Answers repeat the number of what they answer, so that delayed ones prove nothing new.
+    RaftStanding standing = RaftStanding::Empty;
     std::vector<LogEntry> entries;
-    std::string snapshot;
+    std::uint64_t offset = 0; ///< InstallSnapshot: of this chunk. Its answer: of the next chunk wanted.
+    std::uint64_t total = 0; ///< InstallSnapshot: bytes of the whole encoded snapshot.
+    std::string snapshot; ///< One chunk of an encoded RaftSnapshot.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(kind, from, to, term, lastIndex, lastTerm, commit, granted, round, entries, snapshot);
+        archive(kind, from, to, incarnation, term, lastIndex, lastTerm, commit, granted, round, standing, entries,
+            offset, total, snapshot);
     }
 };
 
--- a/lib/base/errorkind.cpp
+++ b/lib/base/errorkind.cpp
@@ -42,6 +42,8 @@
     ErrorAnswer { ErrorKind::ChangeOutcomeUnknown, "change-outcome-unknown", 503, Ran::Unknown, true },
     ErrorAnswer { ErrorKind::VersionConflict, "version-conflict", 412, Ran::No, false },
     ErrorAnswer { ErrorKind::InvalidConfig, "invalid-config", 422, Ran::No, false },
+    ErrorAnswer { ErrorKind::StorageCorrupt, "storage-corrupt", 500, Ran::No, false },
+    ErrorAnswer { ErrorKind::StorageFailed, "storage-failed", 503, Ran::No, true },
     ErrorAnswer { ErrorKind::Internal, "internal", 500, Ran::Unknown, false },
 };
 
--- a/lib/consensus/raftcore.cpp
+++ b/lib/consensus/raftcore.cpp
@@ -1,38 +1,78 @@
 #include "daisyrelay/consensus/raftcore.h"
 
 #include <algorithm>
-#include <functional>
+#include <cassert>
 
 namespace daisyrelay {
 
-RaftCore::RaftCore(Instant now, RaftOptions options, HardState hardState, std::vector<LogEntry> log)
-    : options_(std::move(options)), hardState_(std::move(hardState)), log_(std::move(log)), random_(options_.seed)
+RaftCore::RaftCore(Instant now, RaftOptions options, StoredState stored)
+    : options_(std::move(options))
+    , random_(options_.seed)
+    , hardState_(std::move(stored.hardState))
+    , log_(stored.snapshot.value_or(RaftSnapshot {}), std::move(stored.entries))
+    , startedAt_(now)
+    , commit_(log_.snapshot().index)
+    , delivered_(commit_)
+    , bootNonce_(random_())
+    , persisted_(log_.lastIndex())
 {
+    if (hardState_.incarnation == 0) {
+        hardState_.incarnation = random_();
+        hardStateDirty_ = true;
+    }
+    if (commit_ > 0) {
+        restore_ = log_.snapshot().data;
+    }
     resetElectionTimer(now);
 }
 
 void RaftCore::tick(Instant now)
 {
+    assert(!writing_ && "the driver must report the write first");
+    retryDue_ = blocked_ && now >= retryAt_;
+    sendHello(now);
     if (role_ == RaftRole::Leader) {
-        if (now >= heartbeatAt_) {
+        if (now - ledSince_ > 2 * options_.electionTimeout && now > leaseUntil()
+            && now > leaseUntil() + options_.electionTimeout) {
+            becomeFollower(now, hardState_.term);
+        } else if (now >= heartbeatAt_) {
             broadcast(now);
+            maintainMembership(now);
         }
         return;
     }
     if (now >= electionAt_) {
-        startElection(now);
+        leader_.reset();
+        resetElectionTimer(now);
+        if (mayVote(now)) {
+            startElection(now, true);
+        }
     }
 }
 
 void RaftCore::receive(Instant now, const RaftMessage &message)
 {
-    if (message.term > hardState_.term) {
+    assert(!writing_ && "the driver must report the write first");
+    if (message.to != options_.self || message.from == options_.self) {
+        return;
+    }
+    recordMark(message);
+    const bool asks = message.kind == RaftMessageKind::Vote || message.kind == RaftMessageKind::PreVote;
+    if (asks && message.term > hardState_.term && followsLiveLeader(now)) {
+        return;
+    }
+    const bool keepsTerm = message.kind == RaftMessageKind::PreVote || message.kind == RaftMessageKind::Hello
+        || message.kind == RaftMessageKind::HelloAnswer
+        || (message.kind == RaftMessageKind::PreVoteAnswer && message.granted);
+    if (message.term > hardState_.term && !keepsTerm) {
         becomeFollower(now, message.term);
     }
     switch (message.kind) {
+    case RaftMessageKind::PreVote:
     case RaftMessageKind::Vote:
         onVote(now, message);
         break;
+    case RaftMessageKind::PreVoteAnswer:
     case RaftMessageKind::VoteAnswer:
         onVoteAnswer(now, message);
         break;
@@ -42,26 +82,83 @@
     case RaftMessageKind::AppendAnswer:
         onAppendAnswer(now, message);
         break;
-    default:
+    case RaftMessageKind::InstallSnapshot:
+        onInstallSnapshot(now, message);
+        break;
+    case RaftMessageKind::InstallSnapshotAnswer:
+        onInstallSnapshotAnswer(now, message);
+        break;
+    case RaftMessageKind::Hello:
+        onHello(now, message);
+        break;
+    case RaftMessageKind::HelloAnswer:
+        onHelloAnswer(now, message);
         break;
     }
 }
 
-std::optional<std::uint64_t> RaftCore::propose(Instant now, std::string command)
+RaftActions RaftCore::takeActions()
 {
-    if (role_ != RaftRole::Leader) {
-        return std::nullopt;
+    assert(!writing_ && "the driver must report the write first");
+    RaftActions actions;
+    RaftWrite write = pendingWrite();
+    const bool synced = write.empty();
+    if (!synced && (!blocked_ || retryDue_)) {
+        actions.write = std::move(write);
+        writing_ = true;
+        retryDue_ = false;
+    }
+    std::vector<Outgoing> held;
+    for (Outgoing &outgoing : outbox_) {
+        if (outgoing.promise && !synced) {
+            held.push_back(std::move(outgoing));
+        } else {
+            actions.messages.push_back(std::move(outgoing.message));
+        }
+    }
+    outbox_ = std::move(held);
+    actions.restore = std::exchange(restore_, std::nullopt);
+    for (; delivered_ < commit_; ++delivered_) {
+        const LogEntry &entry = log_.at(delivered_ + 1);
+        if (entry.kind == LogEntryKind::Command) {
+            actions.committed.push_back(entry);
+        }
     }
-    log_.push_back({ hardState_.term, lastIndex() + 1, std::move(command) });
-    actions_.append.push_back(log_.back());
-    broadcast(now);
-    advanceCommit();
-    return lastIndex();
+    if (snapshotIsDue()) {
+        actions.snapshotAt = delivered_;
+    }
+    actions.rejoining = !std::exchange(rejoinReported_, true);
+    return actions;
 }
 
-RaftActions RaftCore::takeActions()
+void RaftCore::onPersisted(Instant now)
+{
+    writing_ = false;
+    blocked_ = false;
+    hardStateDirty_ = false;
+    snapshotDirty_ = false;
+    truncateFrom_.reset();
+    persisted_ = log_.lastIndex();
+    advanceCommit(now);
+}
+
+void RaftCore::onPersistFailed(Instant now)
 {
-    return std::exchange(actions_, {});
+    writing_ = false;
+    blocked_ = true;
+    retryAt_ = now + options_.storageRetry;
+    // The other side repeats what stays unanswered.
+    std::erase_if(outbox_, [](const Outgoing &outgoing) { return outgoing.promise; });
+}
+
+void RaftCore::compact(std::uint64_t index, std::string data)
+{
+    if (index <= log_.snapshot().index || index > delivered_) {
+        return;
+    }
+    log_.compact(index, std::move(data), options_.keptEntries);
+    encodedSnapshot_.clear();
+    snapshotDirty_ = true;
 }
 
 RaftRole RaftCore::role() const
@@ -84,225 +181,115 @@
     return commit_;
 }
 
-bool RaftCore::mayAnswer(Instant now) const
+const RaftLog &RaftCore::log() const
 {
-    if (role_ != RaftRole::Leader || commit_ == 0 || termAt(commit_) != hardState_.term) {
-        return false;
-    }
-    std::size_t recent = 1;
-    for (const auto &[vm, progress] : progress_) {
-        if (progress.heard + options_.electionTimeout > now) {
-            ++recent;
-        }
-    }
-    return recent >= quorum();
+    return log_;
 }
 
-void RaftCore::becomeFollower(Instant now, Term term)
+std::uint64_t RaftCore::incarnation() const
 {
-    role_ = RaftRole::Follower;
-    leader_.reset();
-    if (term > hardState_.term) {
-        hardState_ = { term, "" };
-        saveHardState();
-    }
-    resetElectionTimer(now);
+    return hardState_.incarnation;
 }
 
-void RaftCore::startElection(Instant now)
+bool RaftCore::isBlocked() const
 {
-    role_ = RaftRole::Candidate;
-    leader_.reset();
-    hardState_ = { hardState_.term + 1, options_.self.value };
-    saveHardState();
-    votes_ = 1;
-    resetElectionTimer(now);
-    for (const VmId &voter : options_.voters) {
-        RaftMessage message;
-        message.kind = RaftMessageKind::Vote;
-        message.lastIndex = lastIndex();
-        message.lastTerm = termAt(lastIndex());
-        send(std::move(message), voter);
-    }
-    if (votes_ >= quorum()) {
-        becomeLeader(now);
-    }
+    return blocked_;
 }
 
-void RaftCore::becomeLeader(Instant now)
+bool RaftCore::isVoter() const
 {
-    role_ = RaftRole::Leader;
-    leader_ = options_.self;
-    progress_.clear();
-    for (const VmId &voter : options_.voters) {
-        if (voter != options_.self) {
-            progress_[voter] = { lastIndex() + 1, 0, {} };
-        }
-    }
-    // An entry of the new term lets the leader commit what earlier terms left behind.
-    propose(now, "");
+    return isVoter(options_.self, hardState_.incarnation);
 }
 
-void RaftCore::onVote(Instant now, const RaftMessage &message)
+bool RaftCore::mayAnswer(Instant now) const
 {
-    const bool upToDate = message.lastTerm > termAt(lastIndex())
-        || (message.lastTerm == termAt(lastIndex()) && message.lastIndex >= lastIndex());
-    const bool free = hardState_.votedFor.empty() || hardState_.votedFor == message.from.value;
-    RaftMessage answer;
-    answer.kind = RaftMessageKind::VoteAnswer;
-    answer.granted = message.term == hardState_.term && role_ == RaftRole::Follower && upToDate && free;
-    if (answer.granted) {
-        hardState_.votedFor = message.from.value;
-        saveHardState();
-        resetElectionTimer(now);
-    }
-    send(std::move(answer), message.from);
+    return role_ == RaftRole::Leader && log_.termAt(commit_) == hardState_.term && now < leaseUntil();
 }
 
-void RaftCore::onVoteAnswer(Instant now, const RaftMessage &message)
+void RaftCore::send(RaftMessage message, const VmId &to)
 {
-    if (role_ != RaftRole::Candidate || message.term != hardState_.term || !message.granted) {
-        return;
-    }
-    ++votes_;
-    if (votes_ >= quorum()) {
-        becomeLeader(now);
+    message.from = options_.self;
+    message.to = to;
+    message.incarnation = hardState_.incarnation;
+    if (message.term == 0) {
+        message.term = hardState_.term;
     }
+    const bool promise = isPromise(message);
+    outbox_.push_back({ std::move(message), promise });
 }
 
-void RaftCore::onAppend(Instant now, const RaftMessage &message)
+bool RaftCore::isPromise(const RaftMessage &message) const
 {
-    RaftMessage answer;
-    answer.kind = RaftMessageKind::AppendAnswer;
-    if (message.term < hardState_.term) {
-        send(std::move(answer), message.from);
-        return;
-    }
-    role_ = RaftRole::Follower;
-    leader_ = message.from;
-    resetElectionTimer(now);
-    if (message.lastIndex > lastIndex() || termAt(message.lastIndex) != message.lastTerm) {
-        answer.lastIndex = std::min(lastIndex(), message.lastIndex - 1);
-        send(std::move(answer), message.from);
-        return;
-    }
-    for (const LogEntry &entry : message.entries) {
-        if (entry.index <= lastIndex() && termAt(entry.index) != entry.term) {
-            log_.resize(entry.index - 1);
-            actions_.truncateFrom = std::min(actions_.truncateFrom.value_or(entry.index), entry.index);
-            std::erase_if(actions_.append, [&entry](const LogEntry &old) { return old.index >= entry.index; });
-        }
-        if (entry.index > lastIndex()) {
-            log_.push_back(entry);
-            actions_.append.push_back(entry);
-        }
+    switch (message.kind) {
+    case RaftMessageKind::Vote:
+    case RaftMessageKind::Hello:
+        return hardStateDirty_;
+    case RaftMessageKind::VoteAnswer:
+        return message.granted && hardStateDirty_;
+    case RaftMessageKind::AppendAnswer:
+        return message.granted
+            && (hardStateDirty_ || snapshotDirty_ || truncateFrom_ || message.lastIndex > persisted_);
+    default:
+        return false;
     }
-    answer.granted = true;
-    answer.lastIndex = message.lastIndex + message.entries.size();
-    setCommit(std::min(message.commit, answer.lastIndex));
-    send(std::move(answer), message.from);
 }
 
-void RaftCore::onAppendAnswer(Instant now, const RaftMessage &message)
+RaftWrite RaftCore::pendingWrite() const
 {
-    const auto found = progress_.find(message.from);
-    if (role_ != RaftRole::Leader || message.term != hardState_.term || found == progress_.end()) {
-        return;
+    RaftWrite write;
+    std::uint64_t from = persisted_ + 1;
+    if (snapshotDirty_) {
+        write.snapshot = log_.snapshot();
+        from = log_.snapshot().index + 1;
+    } else {
+        write.record.truncateFrom = truncateFrom_;
     }
-    Progress &progress = found->second;
-    progress.heard = now;
-    if (!message.granted) {
-        progress.next = std::clamp<std::uint64_t>(message.lastIndex + 1, 1, lastIndex() + 1);
-        sendAppend(message.from);
-        return;
-    }
-    progress.match = std::max(progress.match, message.lastIndex);
-    progress.next = progress.match + 1;
-    advanceCommit();
-    if (progress.next <= lastIndex()) {
-        sendAppend(message.from);
-    }
-}
-
-void RaftCore::sendAppend(const VmId &to)
-{
-    constexpr std::uint64_t MostEntries = 64;
-    const Progress &progress = progress_.at(to);
-    RaftMessage message;
-    message.kind = RaftMessageKind::Append;
-    message.lastIndex = progress.next - 1;
-    message.lastTerm = termAt(message.lastIndex);
-    message.commit = commit_;
-    const std::uint64_t end = std::min(lastIndex(), message.lastIndex + MostEntries);
-    for (std::uint64_t index = progress.next; index <= end; ++index) {
-        message.entries.push_back(log_[index - 1]);
+    if (hardStateDirty_ || snapshotDirty_) {
+        write.record.hardState = hardState_;
     }
-    send(std::move(message), to);
-}
-
-void RaftCore::broadcast(Instant now)
-{
-    heartbeatAt_ = now + options_.heartbeat;
-    for (const auto &[vm, progress] : progress_) {
-        sendAppend(vm);
+    for (; from <= log_.lastIndex(); ++from) {
+        write.record.append.push_back(log_.at(from));
     }
+    return write;
 }
 
-void RaftCore::advanceCommit()
+bool RaftCore::snapshotIsDue() const
 {
-    std::vector<std::uint64_t> matches { lastIndex() };
-    for (const auto &[vm, progress] : progress_) {
-        matches.push_back(progress.match);
-    }
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    const std::uint64_t index = matches[quorum() - 1];
-    if (index > commit_ && termAt(index) == hardState_.term) {
-        setCommit(index);
-    }
+    const std::uint64_t entries = delivered_ - log_.snapshot().index;
+    return !blocked_ && !snapshotDirty_ && entries > 0
+        && (entries >= options_.snapshotEntries || log_.bytesAfterSnapshot() >= options_.snapshotBytes);
 }
 
-void RaftCore::setCommit(std::uint64_t index)
+const Member *RaftCore::memberOf(const VmId &vm) const
 {
-    for (; commit_ < index; ++commit_) {
-        actions_.committed.push_back(log_[commit_]);
-    }
+    const std::vector<Member> &members = log_.membership().members;
+    const auto found
+        = std::find_if(members.begin(), members.end(), [&vm](const Member &member) { return member.vm == vm; });
+    return found == members.end() ? nullptr : &*found;
 }
 
-void RaftCore::resetElectionTimer(Instant now)
+bool RaftCore::isVoter(const VmId &vm, std::uint64_t incarnation) const
 {
-    std::uniform_int_distribution<Duration::rep> extra(0, options_.electionTimeout.count());
-    electionAt_ = now + options_.electionTimeout + Duration(extra(random_));
+    const Member *member = memberOf(vm);
+    return member != nullptr && member->voter && member->incarnation == incarnation;
 }
 
-void RaftCore::saveHardState()
+std::size_t RaftCore::quorum() const
 {
-    actions_.hardState = hardState_;
+    const std::vector<Member> &members = log_.membership().members;
+    const auto voters
+        = std::count_if(members.begin(), members.end(), [](const Member &member) { return member.voter; });
+    return static_cast<std::size_t>(voters) / 2 + 1;
 }
 
-void RaftCore::send(RaftMessage message, const VmId &to)
+std::set<VmId> RaftCore::otherControlVms() const
 {
-    if (to == options_.self) {
-        return;
+    std::set<VmId> vms(options_.controlVms.begin(), options_.controlVms.end());
+    for (const Member &member : log_.membership().members) {
+        vms.insert(member.vm);
     }
-    message.from = options_.self;
-    message.to = to;
-    message.term = hardState_.term;
-    actions_.messages.push_back(std::move(message));
-}
-
-std::uint64_t RaftCore::lastIndex() const
-{
-    return log_.size();
-}
-
-Term RaftCore::termAt(std::uint64_t index) const
-{
-    return index == 0 || index > log_.size() ? 0 : log_[index - 1].term;
-}
-
-std::size_t RaftCore::quorum() const
-{
-    return options_.voters.size() / 2 + 1;
+    vms.erase(options_.self);
+    return vms;
 }
 
 } // namespace daisyrelay
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -2,8 +2,7 @@
 
 #include "protocol.h"
 
-#include <random>
-
+#include <boost/asio/post.hpp>
 #include <spdlog/spdlog.h>
 
 namespace daisyrelay {
@@ -11,26 +10,24 @@
 static constexpr Duration TickInterval = std::chrono::milliseconds(10);
 static constexpr Duration DatabaseTimeout = std::chrono::milliseconds(250);
 
-static RaftOptions raftOptions(const Settings &settings)
+ControlRuntime::ControlRuntime(Duty &duty, const Settings &settings, Send send)
+    : duty_(duty), self_(settings.id), send_(std::move(send)), control_(settings.id)
 {
-    RaftOptions options;
-    options.self = settings.id;
-    for (const Seed &seed : settings.seeds) {
-        if (seed.control) {
-            options.voters.push_back(seed.id);
-        }
-    }
-    options.seed = std::random_device()();
-    return options;
 }
 
-ControlRuntime::ControlRuntime(Duty &duty, const Settings &settings, Send send)
-    : duty_(duty)
-    , self_(settings.id)
-    , send_(std::move(send))
-    , raft_(Clock::now(), raftOptions(settings), {}, {})
-    , control_(settings.id)
+Expected<void> ControlRuntime::open(const Settings &settings, Counters &counters)
 {
+    RaftDriver::Hooks hooks;
+    hooks.send = [this](const RaftMessage &message) { send_(message.to, message); };
+    hooks.apply = [this](const LogEntry &entry) { control_.onCommitted(Clock::now(), entry); };
+    hooks.restore = [this](std::string_view bytes) { return control_.restoreSnapshot(Clock::now(), bytes); };
+    hooks.snapshot = [this]() { return control_.encodeSnapshot(); };
+    Expected<std::unique_ptr<RaftDriver>> driver = RaftDriver::open(settings, counters, std::move(hooks));
+    if (!driver) {
+        return tl::unexpected(driver.error());
+    }
+    raft_ = std::move(*driver);
+    return {};
 }
 
 void ControlRuntime::start()
@@ -41,7 +38,7 @@
 void ControlRuntime::tick()
 {
     const Instant now = Clock::now();
-    raft_.tick(now);
+    raft_->core().tick(now);
     control_.tick(now);
     flush();
 }
@@ -50,7 +47,7 @@
 {
     const Instant now = Clock::now();
     if (const auto *raft = std::get_if<RaftMessage>(&message.payload); raft != nullptr) {
-        raft_.receive(now, *raft);
+        raft_->core().receive(now, *raft);
     } else if (const auto *lease = std::get_if<LeaseRequest>(&message.payload); lease != nullptr) {
         control_.onLeaseRequest(now, *lease);
     } else if (const auto *announced = std::get_if<BackendAnnouncement>(&message.payload); announced != nullptr) {
@@ -58,7 +55,19 @@
     } else if (const auto *change = std::get_if<ConfigChangeRequest>(&message.payload); change != nullptr) {
         control_.onConfigChange(now, message.from, *change);
     }
-    flush();
+    scheduleFlush();
+}
+
+// Runs after the messages that wait in the ring, so that one sync serves them all.
+void ControlRuntime::scheduleFlush()
+{
+    if (std::exchange(flushPending_, true)) {
+        return;
+    }
+    boost::asio::post(duty_.context(), [this]() {
+        flushPending_ = false;
+        flush();
+    });
 }
 
 void ControlRuntime::flush()
@@ -66,14 +75,8 @@
     bool busy = true;
     while (busy) {
         busy = false;
-        const RaftActions actions = raft_.takeActions();
-        for (const RaftMessage &message : actions.messages) {
-            send_(message.to, message);
-        }
-        for (const LogEntry &entry : actions.committed) {
-            control_.onCommitted(Clock::now(), entry);
-        }
-        control_.onLeadership(Clock::now(), raft_.mayAnswer(Clock::now()), raft_.term());
+        raft_->flush();
+        control_.onLeadership(Clock::now(), raft_->core().mayAnswer(Clock::now()), raft_->core().term());
         for (const ControlAction &action : control_.takeActions()) {
             perform(action);
             busy = true;
@@ -85,7 +88,7 @@
 {
     HttpRequest request;
     if (const auto *propose = std::get_if<ProposeCommand>(&action); propose != nullptr) {
-        raft_.propose(Clock::now(), encodeControlCommand(propose->command));
+        raft_->core().propose(Clock::now(), encodeControlCommand(propose->command));
     } else if (const auto *message = std::get_if<ControlSend>(&action); message != nullptr) {
         send_(message->to, message->payload);
     } else if (const auto *survey = std::get_if<SurveyBackend>(&action); survey != nullptr) {
@@ -133,7 +136,7 @@
 
 std::string ControlRuntime::describe() const
 {
-    switch (raft_.role()) {
+    switch (raft_->core().role()) {
     case RaftRole::Leader:
         return "leader";
     case RaftRole::Candidate:
--- a/lib/net/controlruntime.h
+++ b/lib/net/controlruntime.h
@@ -1,10 +1,10 @@
 // The control duty of a VM: drives consensus and the control core, and talks to databases for them.
 #pragma once
 
-#include "daisyrelay/consensus.h"
 #include "daisyrelay/control.h"
 #include "daisyrelay/net/duty.h"
 #include "daisyrelay/net/httpconnection.h"
+#include "raftdriver.h"
 
 #include <functional>
 
@@ -18,6 +18,10 @@
 
     ControlRuntime(Duty &duty, const Settings &settings, Send send);
 
+    /// Reads the data folder. \returns an error if the VM must not start with what is there.
+    Expected<void> open(const Settings &settings, Counters &counters);
+
+    /// To be called after open().
     void start();
     void onMessage(const PeerMessage &message);
 
@@ -26,6 +30,7 @@
 
 private:
     void tick();
+    void scheduleFlush();
     void flush();
     void perform(const ControlAction &action);
     void ask(
@@ -34,8 +39,9 @@
     Duty &duty_;
     VmId self_;
     Send send_;
-    RaftCore raft_;
     ControlCore control_;
+    std::unique_ptr<RaftDriver> raft_;
+    bool flushPending_ = false;
 };
 
 } // namespace daisyrelay
--- a/lib/net/daemon.cpp
+++ b/lib/net/daemon.cpp
@@ -219,6 +219,10 @@
         }
     }
     if (control_) {
+        if (const Expected<void> opened = control_->open(settings_, counters_); !opened) {
+            spdlog::critical("does not start: {}", opened.error().detail);
+            return ExitStartFailed;
+        }
         control_->start();
     }
     entry_.start();
--- /dev/null
+++ b/lib/net/raftdriver.cpp
@@ -0,0 +1,149 @@
+#include "raftdriver.h"
+
+#include <random>
+
+#include <spdlog/spdlog.h>
+
+namespace daisyrelay {
+
+static RaftOptions raftOptions(const Settings &settings)
+{
+    RaftOptions options;
+    options.self = settings.id;
+    for (const Seed &seed : settings.seeds) {
+        if (seed.control) {
+            options.controlVms.push_back(seed.id);
+        }
+    }
+    std::random_device device;
+    constexpr unsigned BitsOfDevice = 32;
+    options.seed = (static_cast<std::uint64_t>(device()) << BitsOfDevice) | device();
+    return options;
+}
+
+Expected<std::unique_ptr<RaftDriver>> RaftDriver::open(const Settings &settings, Counters &counters, Hooks hooks)
+{
+    Expected<std::unique_ptr<PosixFileSystem>> files = PosixFileSystem::open(settings.dataFolder);
+    if (!files) {
+        return tl::unexpected(files.error());
+    }
+    auto driver = std::make_unique<RaftDriver>(std::move(*files), counters, std::move(hooks));
+    if (const Expected<void> started = driver->start(settings); !started) {
+        return tl::unexpected(Error { started.error().kind, settings.dataFolder + "/" + started.error().detail });
+    }
+    return driver;
+}
+
+RaftDriver::RaftDriver(std::unique_ptr<PosixFileSystem> files, Counters &counters, Hooks hooks)
+    : files_(std::move(files)), counters_(counters), hooks_(std::move(hooks)), storage_(*files_)
+{
+}
+
+Expected<void> RaftDriver::start(const Settings &settings)
+{
+    Expected<StoredState> stored = storage_.open();
+    if (!stored) {
+        return tl::unexpected(stored.error());
+    }
+    if (stored->cutBytes > 0) {
+        counters_.add("storage.torn_tail");
+        spdlog::warn("cut {} bytes of an unfinished write from the end of the log", stored->cutBytes);
+    }
+    if (stored->snapshot && stored->snapshot->index > 0) {
+        if (const Expected<void> restored = hooks_.restore(stored->snapshot->data); !restored) {
+            return tl::unexpected(Error { ErrorKind::StorageCorrupt, "snapshot: " + restored.error().detail });
+        }
+    }
+    spdlog::info("read the log up to index {} of term {}",
+        stored->entries.empty() ? (stored->snapshot ? stored->snapshot->index : 0) : stored->entries.back().index,
+        stored->hardState.term);
+    core_ = std::make_unique<RaftCore>(Clock::now(), raftOptions(settings), std::move(*stored));
+    return {};
+}
+
+RaftCore &RaftDriver::core()
+{
+    return *core_;
+}
+
+const RaftCore &RaftDriver::core() const
+{
+    return *core_;
+}
+
+bool RaftDriver::flush()
+{
+    bool applied = false;
+    for (;;) {
+        const RaftActions actions = core_->takeActions();
+        if (actions.empty()) {
+            logChanges();
+            return applied;
+        }
+        if (!actions.write.empty()) {
+            store(actions.write);
+        }
+        for (const RaftMessage &message : actions.messages) {
+            hooks_.send(message);
+        }
+        apply(actions);
+        applied = applied || actions.restore || !actions.committed.empty();
+    }
+}
+
+void RaftDriver::store(const RaftWrite &write)
+{
+    const bool wasBlocked = core_->isBlocked();
+    const Expected<void> stored = storage_.write(write);
+    if (stored) {
+        counters_.add("storage.syncs");
+        counters_.add("storage.entries", write.record.append.size());
+        core_->onPersisted(Clock::now());
+        if (wasBlocked) {
+            spdlog::info("the data folder can be written again");
+        }
+        return;
+    }
+    counters_.add("storage.write_failed");
+    core_->onPersistFailed(Clock::now());
+    if (!wasBlocked) {
+        spdlog::error("changes are refused until the data folder can be written: {}", stored.error().detail);
+    }
+}
+
+void RaftDriver::apply(const RaftActions &actions)
+{
+    if (actions.rejoining) {
+        counters_.add("consensus.lost_promises");
+        spdlog::error("the data folder is older than what this VM promised: rejoining as a learner");
+    }
+    if (actions.restore) {
+        if (const Expected<void> restored = hooks_.restore(*actions.restore); !restored) {
+            counters_.add("consensus.snapshot_unreadable");
+            spdlog::critical("a snapshot can not be read: {}", restored.error().detail);
+        }
+    }
+    for (const LogEntry &entry : actions.committed) {
+        hooks_.apply(entry);
+    }
+    if (actions.snapshotAt) {
+        counters_.add("consensus.snapshots");
+        core_->compact(*actions.snapshotAt, hooks_.snapshot());
+    }
+}
+
+void RaftDriver::logChanges()
+{
+    if (core_->role() == loggedRole_) {
+        return;
+    }
+    loggedRole_ = core_->role();
+    if (loggedRole_ == RaftRole::Leader) {
+        counters_.add("consensus.elected");
+        spdlog::info("leads the control VMs in term {}", core_->term());
+    } else if (loggedRole_ == RaftRole::Follower) {
+        spdlog::info("follows in term {}", core_->term());
+    }
+}
+
+} // namespace daisyrelay
--- a/lib/wire/archive.h
+++ b/lib/wire/archive.h
@@ -6,6 +6,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
--- a/lib/wire/codec.cpp
+++ b/lib/wire/codec.cpp
@@ -24,4 +24,34 @@
     return decodeValue<ControlCommand>(bytes, LargestPeerMessage);
 }
 
+std::string encodeMembership(const Membership &value)
+{
+    return encodeValue(value);
+}
+
+Expected<Membership> decodeMembership(std::string_view bytes)
+{
+    return decodeValue<Membership>(bytes, LargestPeerMessage);
+}
+
+std::string encodeRaftSnapshot(const RaftSnapshot &value)
+{
+    return encodeValue(value);
+}
+
+Expected<RaftSnapshot> decodeRaftSnapshot(std::string_view bytes)
+{
+    return decodeValue<RaftSnapshot>(bytes, LargestStoredValue);
+}
+
+std::string encodeLogRecord(const LogRecord &value)
+{
+    return encodeValue(value);
+}
+
+Expected<LogRecord> decodeLogRecord(std::string_view bytes)
+{
+    return decodeValue<LogRecord>(bytes, LargestStoredValue);
+}
+
 } // namespace daisyrelay
--- /dev/null
+++ b/unittests/consensus/rafttrapstest.cpp
@@ -0,0 +1,211 @@
+#include "fakecluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RaftTraps) {};
+
+static std::size_t settle(FakeCluster &cluster)
+{
+    CHECK_TEXT(cluster.runUntil([&cluster]() { return cluster.settled(); }), "the cluster did not settle");
+    return *cluster.leader();
+}
+
+static void checkPromises(const FakeCluster &cluster)
+{
+    STRCMP_EQUAL("", cluster.violation.c_str());
+}
+
+static void proposeAndWait(FakeCluster &cluster, std::size_t at, const std::string &command)
+{
+    CHECK(cluster.propose(at, command));
+    CHECK(cluster.runUntil([&]() { return cluster.applied(at, command); }));
+}
+
+// Commits an entry on the leader and one other VM only. The third must not lead with the other's vote.
+struct EntryOnTwoOfThree {
+    FakeCluster cluster { 3 };
+    std::size_t leader = settle(cluster);
+    std::size_t holder = (leader + 1) % 3;
+    std::size_t behind = (leader + 2) % 3;
+    std::unique_ptr<FakeDisk> image = cluster.vms[holder].disk->copy();
+
+    EntryOnTwoOfThree()
+    {
+        cluster.isolate(behind);
+        proposeAndWait(cluster, leader, "accepted");
+    }
+
+    void checkNoLeaderWithout(std::size_t lost)
+    {
+        cluster.cuts.clear();
+        cluster.isolate(lost);
+        cluster.run(60s);
+        CHECK(cluster.leader() != behind && cluster.leader() != holder);
+        checkPromises(cluster);
+        cluster.cuts.clear();
+        const std::size_t now = settle(cluster);
+        CHECK(cluster.applied(now, "accepted"));
+        cluster.run(1s);
+        CHECK(cluster.applied(holder, "accepted"));
+        checkPromises(cluster);
+    }
+};
+
+TEST(RaftTraps, Trap1AWipedControlVmDoesNotVote)
+{
+    EntryOnTwoOfThree scene;
+    scene.cluster.wipe(scene.holder);
+    scene.checkNoLeaderWithout(scene.leader);
+}
+
+TEST(RaftTraps, Trap1AControlVmWithAnOlderDiskDoesNotVote)
+{
+    EntryOnTwoOfThree scene;
+    const std::uint64_t before = scene.cluster.vms[scene.holder].core->incarnation();
+    scene.cluster.vms[scene.holder].disk = std::move(scene.image);
+    scene.cluster.start(scene.holder);
+    scene.cluster.run(200ms);
+    CHECK(scene.cluster.vms[scene.holder].core->incarnation() != before);
+    scene.checkNoLeaderWithout(scene.leader);
+}
+
+TEST(RaftTraps, Trap1ARejoinedControlVmIsAVoterUnderANewIncarnation)
+{
+    FakeCluster cluster(3);
+    const std::size_t leader = settle(cluster);
+    proposeAndWait(cluster, leader, "one");
+    const std::size_t wiped = (leader + 1) % 3;
+    const std::uint64_t before = cluster.vms[wiped].core->incarnation();
+    cluster.wipe(wiped);
+    CHECK(!cluster.vms[wiped].core->isVoter());
+    settle(cluster);
+    cluster.run(1s);
+    CHECK(cluster.vms[wiped].core->isVoter());
+    CHECK(cluster.vms[wiped].core->incarnation() != before);
+    CHECK(cluster.applied(wiped, "one"));
+    checkPromises(cluster);
+}
+
+TEST(RaftTraps, Trap2ASecondVmLostRightAfterARepairDoesNotLetTheRepairedOneCountTooEarly)
+{
+    FakeCluster cluster(3);
+    const std::size_t leader = settle(cluster);
+    const std::size_t repaired = (leader + 1) % 3;
+    const std::size_t second = (leader + 2) % 3;
+    cluster.wipe(repaired);
+    CHECK(cluster.runUntil(
+        [&]() { return cluster.vms[leader].core->log().membership().members[repaired].voter == false; }));
+    cluster.cut(leader, repaired);
+    cluster.run(100ms);
+    cluster.crash(second);
+    CHECK(cluster.propose(leader, "second lost"));
+    cluster.run(300ms);
+    CHECK(cluster.committed.empty());
+    CHECK(cluster.vms[leader].core->role() == RaftRole::Leader);
+    cluster.cuts.clear();
+    CHECK(cluster.runUntil([&]() { return !cluster.committed.empty(); }));
+    CHECK(cluster.vms[repaired].core->log().lastIndex() >= cluster.committed.begin()->first);
+    cluster.run(100ms);
+    cluster.crash(leader);
+    cluster.start(second);
+    CHECK(cluster.runUntil([&]() { return cluster.leader().has_value(); }));
+    CHECK(cluster.applied(*cluster.leader(), "second lost"));
+    checkPromises(cluster);
+}
+
+TEST(RaftTraps, Trap2ASecondVmLostWhileTheRepairedOneIsBehindStopsChanges)
+{
+    FakeCluster cluster(3);
+    const std::size_t leader = settle(cluster);
+    const std::size_t repaired = (leader + 1) % 3;
+    const std::size_t second = (leader + 2) % 3;
+    cluster.wipe(repaired);
+    CHECK(cluster.runUntil([&]() { return !cluster.vms[leader].core->log().membership().members[repaired].voter; }));
+    cluster.cut(leader, repaired);
+    cluster.run(100ms);
+    cluster.crash(second);
+    cluster.propose(leader, "not accepted");
+    cluster.run(10s);
+    CHECK(cluster.committed.empty() && !cluster.leader());
+    cluster.cuts.clear();
+    cluster.start(second);
+    settle(cluster);
+    checkPromises(cluster);
+}
+
+TEST(RaftTraps, Trap3AControlVmCutOffForAnHourAnswersNothingStaleAndStartsNoElectionStorm)
+{
+    FakeCluster cluster(3);
+    const std::size_t cutOff = settle(cluster);
+    proposeAndWait(cluster, cutOff, "before");
+    cluster.isolate(cutOff);
+    const Instant cutAt = cluster.now;
+    CHECK(cluster.runUntil([&]() { return !cluster.vms[cutOff].core->mayAnswer(cluster.now); }));
+    CHECK(cluster.now - cutAt <= cluster.options.electionTimeout);
+    CHECK(cluster.runUntil([&]() { return cluster.leader().has_value(); }));
+    const std::size_t leader = *cluster.leader();
+    proposeAndWait(cluster, leader, "while cut off");
+    const Term term = cluster.vms[leader].core->term();
+    const Term termOfCutOff = cluster.vms[cutOff].core->term();
+    cluster.step = 50ms;
+    for (int minute = 0; minute < 60; ++minute) {
+        cluster.run(1min);
+        CHECK(!cluster.vms[cutOff].core->mayAnswer(cluster.now));
+        CHECK(!cluster.propose(cutOff, "grant") && cluster.vms[cutOff].core->term() == termOfCutOff);
+    }
+    cluster.step = 5ms;
+    cluster.cuts.clear();
+    cluster.run(5s);
+    CHECK(cluster.leader() == leader);
+    CHECK_EQUAL(term, cluster.vms[leader].core->term());
+    CHECK(cluster.applied(cutOff, "while cut off"));
+    checkPromises(cluster);
+}
+
+TEST(RaftTraps, Trap3AStoppedLeaderHasNoLeaseWhenItRunsAgain)
+{
+    FakeCluster cluster(3);
+    const std::size_t stopped = settle(cluster);
+    cluster.vms[stopped].paused = true;
+    CHECK(cluster.runUntil([&]() { return cluster.leader().has_value(); }));
+    proposeAndWait(cluster, *cluster.leader(), "meanwhile");
+    CHECK(!cluster.vms[stopped].core->mayAnswer(cluster.now));
+    cluster.vms[stopped].paused = false;
+    cluster.run(2s);
+    CHECK(cluster.applied(stopped, "meanwhile"));
+    checkPromises(cluster);
+}
+
+TEST(RaftTraps, Trap5AfterARestartOf500ChangesKilledInAWriteTheAcceptedStateIsThere)
+{
+    RaftOptions options;
+    options.snapshotEntries = 100;
+    for (std::size_t steps = 1; steps < 4000; steps += 333) {
+        FakeCluster cluster(3, steps, options);
+        std::size_t leader = settle(cluster);
+        for (int change = 0; change < 500; ++change) {
+            cluster.propose(leader, "change " + std::to_string(change));
+            cluster.run(10ms);
+        }
+        cluster.run(100ms);
+        CHECK_EQUAL(500, cluster.committed.size());
+        for (FakeCluster::Vm &vm : cluster.vms) {
+            vm.disk->stepsLeft = steps;
+        }
+        for (int change = 500; change < 600 && cluster.leader(); ++change) {
+            cluster.propose(*cluster.leader(), "change " + std::to_string(change));
+            cluster.run(10ms);
+        }
+        const std::vector<std::string> accepted = cluster.committedCommands();
+        for (std::size_t at = 0; at < cluster.vms.size(); ++at) {
+            cluster.restart(at);
+        }
+        leader = settle(cluster);
+        const std::vector<std::string> &found = cluster.vms[leader].applied;
+        CHECK(found.size() >= accepted.size() && std::equal(accepted.begin(), accepted.end(), found.begin()));
+        checkPromises(cluster);
+    }
+}
--- /dev/null
+++ b/unittests/storage/raftstoragetest.cpp
@@ -0,0 +1,183 @@
+#include "fakedisk.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+
+TEST_GROUP(RaftStorage) {};
+
+static LogEntry entryAt(std::uint64_t index)
+{
+    return { 1, index, "change " + std::to_string(index) };
+}
+
+static RaftWrite appendOf(std::uint64_t index)
+{
+    RaftWrite write;
+    write.record.append = { entryAt(index) };
+    return write;
+}
+
+// Stores entries one by one, as control does with configuration changes.
+static std::unique_ptr<FakeDisk> diskWith(std::uint64_t entries)
+{
+    auto disk = std::make_unique<FakeDisk>();
+    RaftStorage storage(*disk);
+    CHECK(storage.open().has_value());
+    RaftWrite first;
+    first.record.hardState = HardState { 1, VmId { "vm1" }, 5 };
+    CHECK(storage.write(first).has_value());
+    for (std::uint64_t index = 1; index <= entries; ++index) {
+        CHECK(storage.write(appendOf(index)).has_value());
+    }
+    return disk;
+}
+
+// Kills \p write at each step in turn and opens what the crash left. \returns how many kills there were.
+static std::size_t killAtEachStep(const FakeDisk &before, const RaftWrite &write,
+    const std::function<void(const StoredState &found, bool acknowledged)> &check)
+{
+    for (std::size_t steps = 0;; ++steps) {
+        for (const std::size_t kept : { std::size_t { 0 }, std::size_t { 7 }, SIZE_MAX / 2 }) {
+            const std::unique_ptr<FakeDisk> disk = before.copy();
+            RaftStorage storage(*disk);
+            CHECK(storage.open().has_value());
+            disk->stepsLeft = steps;
+            const bool acknowledged = storage.write(write).has_value();
+            disk->crash(kept);
+            const Expected<StoredState> found = RaftStorage(*disk).open();
+            CHECK_TEXT(found.has_value(), found ? "" : found.error().detail.c_str());
+            check(*found, acknowledged);
+            if (acknowledged) {
+                return steps;
+            }
+        }
+    }
+}
+
+TEST(RaftStorage, Trap5ARestartAfter500ChangesKilledAtAnyByteFindsTheLatestAcceptedState)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(500);
+    const std::size_t kills = killAtEachStep(*disk, appendOf(501), [](const StoredState &found, bool acknowledged) {
+        CHECK(found.hardState == (HardState { 1, VmId { "vm1" }, 5 }));
+        const std::size_t size = found.entries.size();
+        CHECK(size == 501 || (size == 500 && !acknowledged));
+        CHECK(found.entries.back() == entryAt(size));
+    });
+    CHECK(kills > FrameHeaderBytes);
+}
+
+TEST(RaftStorage, Trap5ASnapshotKilledAtAnyByteLosesNothing)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(50);
+    RaftWrite write;
+    write.snapshot = RaftSnapshot { 48, 1, {}, "state at 48" };
+    write.record.hardState = HardState { 1, VmId { "vm1" }, 5 };
+    write.record.append = { entryAt(49), entryAt(50) };
+    const std::size_t kills = killAtEachStep(*disk, write, [&write](const StoredState &found, bool acknowledged) {
+        CHECK(found.hardState == *write.record.hardState);
+        CHECK(found.entries.back() == entryAt(50));
+        CHECK(found.snapshot.has_value() || !acknowledged);
+        CHECK_EQUAL(found.snapshot ? 2 : 50, found.entries.size());
+        CHECK(!found.snapshot || found.snapshot == write.snapshot);
+    });
+    CHECK(kills > 2 * FrameHeaderBytes);
+}
+
+TEST(RaftStorage, ASnapshotFromTheLeaderReplacesADivergedLog)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(10);
+    RaftWrite write;
+    write.snapshot = RaftSnapshot { 8, 3, {}, "state" };
+    write.record.hardState = HardState { 3, {}, 5 };
+    killAtEachStep(*disk, write, [](const StoredState &found, bool /*acknowledged*/) {
+        CHECK(found.snapshot ? found.entries.empty() : found.entries.size() == 10);
+    });
+}
+
+TEST(RaftStorage, ATornTailIsCutAndItsSizeReported)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(3);
+    std::string &log = disk->bytesOf("log");
+    log.resize(log.size() - 1);
+    const Expected<StoredState> found = RaftStorage(*disk).open();
+    CHECK(found.has_value());
+    CHECK_EQUAL(2, found->entries.size());
+    CHECK(found->cutBytes > 0);
+}
+
+TEST(RaftStorage, ACorruptMiddleIsRefusedWithFileAndOffset)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(3);
+    const std::size_t second = FrameHeaderBytes + readFrame(disk->bytesOf("log"), 0)->size();
+    disk->bytesOf("log")[second] ^= 1;
+    const Expected<StoredState> found = RaftStorage(*disk).open();
+    CHECK(!found && found.error().kind == ErrorKind::StorageCorrupt);
+    STRCMP_CONTAINS(("log: offset " + std::to_string(second)).c_str(), found.error().detail.c_str());
+}
+
+TEST(RaftStorage, NoChangedBytesPassForSyncedState)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(5);
+    RaftStorage storage(*disk);
+    const Expected<StoredState> whole = storage.open();
+    RaftWrite write;
+    write.snapshot = RaftSnapshot { 2, 1, {}, "state" };
+    write.record.hardState = whole->hardState;
+    write.record.append = { entryAt(3), entryAt(4), entryAt(5) };
+    CHECK(storage.write(write).has_value() && storage.write(appendOf(6)).has_value());
+    CHECK(rc::check([&disk]() {
+        const std::unique_ptr<FakeDisk> damaged = disk->copy();
+        std::string &bytes = damaged->bytesOf(*rc::gen::element<std::string>("log", "snapshot"));
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        const auto replacement = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+        RC_PRE(at + replacement.size() <= bytes.size() && bytes.substr(at, replacement.size()) != replacement);
+        bytes.replace(at, replacement.size(), replacement);
+        const Expected<StoredState> found = RaftStorage(*damaged).open();
+        const bool cut = found && found->entries.size() == 3 && found->cutBytes > 0;
+        RC_ASSERT(cut || (!found && found.error().kind == ErrorKind::StorageCorrupt));
+    }));
+}
+
+TEST(RaftStorage, ArbitraryFilesAreRefusedOrCutWithoutACrash)
+{
+    CHECK(rc::check([](const std::string &log) {
+        const std::unique_ptr<FakeDisk> disk = diskWith(1);
+        disk->bytesOf("log") += log;
+        RC_ASSERT(RaftStorage(*disk).open().has_value());
+        disk->bytesOf("log") = log;
+        RC_ASSERT(!RaftStorage(*disk).open().has_value());
+    }));
+}
+
+TEST(RaftStorage, NoPartOfAnEncodedValueIsTakenForTheWhole)
+{
+    const RaftSnapshot snapshot { 9, 2, { { { VmId { "vm1" }, 5, true } } }, "state" };
+    const std::string bytes = encodeRaftSnapshot(snapshot);
+    const std::string record = encodeLogRecord({ HardState { 1, VmId { "vm1" }, 5 }, 4, { entryAt(4) } });
+    CHECK(decodeRaftSnapshot(bytes) == snapshot);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK(!decodeRaftSnapshot(std::string_view(bytes).substr(0, size)).has_value());
+    }
+    for (std::size_t size = 0; size < record.size(); ++size) {
+        CHECK(!decodeLogRecord(std::string_view(record).substr(0, size)).has_value());
+    }
+}
+
+TEST(RaftStorage, AFullDiskRefusesAndLaterTakesTheSameWrite)
+{
+    const std::unique_ptr<FakeDisk> disk = diskWith(2);
+    RaftStorage storage(*disk);
+    CHECK(storage.open().has_value());
+    disk->stepsLeft = 9;
+    CHECK(!storage.write(appendOf(3)).has_value());
+    disk->stepsLeft.reset();
+    disk->full = true;
+    CHECK(!storage.write(appendOf(3)).has_value());
+    disk->full = false;
+    CHECK(storage.write(appendOf(3)).has_value());
+    disk->crash(0);
+    CHECK_EQUAL(3, RaftStorage(*disk).open()->entries.size());
+}
