--- a/lib/consensus/raftcore.cpp
+++ b/lib/consensus/raftcore.cpp
@@ -23,7 +23,9 @@
     if (commit_ > 0) {
         restore_ = log_.snapshot().data;
     }
-    resetElectionTimer(now);
+    // A start needs no long wait to keep candidates apart; the time until the first vote may be given counts for all.
+    std::uniform_int_distribution<Duration::rep> extra(0, 2 * options_.heartbeat.count());
+    electionAt_ = now + options_.electionTimeout + Duration(extra(random_));
 }
 
 void RaftCore::tick(Instant now)
