Check that a learner waits and that a term commits its own entry first

Change: both traps of a lost second VM check that the repaired one is still a learner, and a test replays the commit of an older term's entry.

--- a/unittests/consensus/raftcoretest.cpp
+++ b/unittests/consensus/raftcoretest.cpp
@@ -295,3 +295,42 @@
     CHECK_EQUAL(term, cluster.vms[leader].core->term());
     STRCMP_EQUAL("", cluster.violation.c_str());
 }
+
+TEST(RaftCore, AnEntryOfAnOlderTermIsCommittedOnlyTogetherWithOneOfTheLeadersTerm)
+{
+    RaftOptions options;
+    options.self = VmId { "vm0" };
+    StoredState stored;
+    stored.hardState = { 1, {}, 7 };
+    stored.snapshot = RaftSnapshot { 0, 0, { { { VmId { "vm0" }, 7, true }, { VmId { "vm1" }, 8, true } } }, "" };
+    stored.entries = { { 1, 1, "older" } };
+    Instant now = Instant() + 1h;
+    RaftCore core(now, options, stored);
+    RaftMessage answer;
+    answer.from = VmId { "vm1" };
+    answer.to = options.self;
+    answer.incarnation = 8;
+    for (const Instant end = now + 5s; now < end && core.role() != RaftRole::Leader; now += 10ms) {
+        core.tick(now);
+        for (const RaftMessage &message : core.takeActions().messages) {
+            answer.kind = static_cast<RaftMessageKind>(static_cast<int>(message.kind) + 1);
+            answer.standing = RaftStanding::Live;
+            answer.term = message.term;
+            answer.round = message.round;
+            answer.granted = message.kind != RaftMessageKind::Hello;
+            core.receive(now, answer);
+        }
+        if (!core.takeActions().write.empty()) {
+            core.onPersisted(now);
+        }
+    }
+    CHECK(core.role() == RaftRole::Leader);
+    answer.kind = RaftMessageKind::AppendAnswer;
+    answer.term = core.term();
+    answer.lastIndex = 1;
+    core.receive(now, answer);
+    CHECK_EQUAL(0, core.commitIndex());
+    answer.lastIndex = 2;
+    core.receive(now, answer);
+    CHECK_EQUAL(2, core.commitIndex());
+}
--- a/unittests/consensus/rafttrapstest.cpp
+++ b/unittests/consensus/rafttrapstest.cpp
@@ -100,6 +100,7 @@
         [&]() { return cluster.vms[leader].core->log().membership().members[repaired].voter == false; }));
     cluster.cut(leader, repaired);
     cluster.run(100ms);
+    CHECK(!cluster.vms[leader].core->log().membership().members[repaired].voter);
     cluster.crash(second);
     CHECK(cluster.propose(leader, "second lost"));
     cluster.run(300ms);
@@ -126,6 +127,7 @@
     CHECK(cluster.runUntil([&]() { return !cluster.vms[leader].core->log().membership().members[repaired].voter; }));
     cluster.cut(leader, repaired);
     cluster.run(100ms);
+    CHECK(!cluster.vms[leader].core->log().membership().members[repaired].voter);
     cluster.crash(second);
     cluster.propose(leader, "not accepted");
     cluster.run(10s);
