--- a/include/daisyrelay/control/controlactions.h
+++ b/include/daisyrelay/control/controlactions.h
@@ -4,6 +4,7 @@
 #include "daisyrelay/config.h"
 #include "daisyrelay/wire.h"
 
+#include <optional>
 #include <variant>
 
 namespace daisyrelay {
@@ -19,12 +20,20 @@
     PeerPayload payload;
 };
 
-/// Asks a database for its position; the answer goes to ControlCore::onSurveyed.
+/// Asks a database for its position; exactly one SurveyAnswer follows.
 struct SurveyBackend {
+    std::uint64_t ticket = 0; ///< Names the question.
     BackendId backend;
     Endpoint address;
 };
 
+/// What came of a SurveyBackend.
+struct SurveyAnswer {
+    std::uint64_t ticket = 0;
+    std::optional<LogPoint> point; ///< Empty if the database did not answer.
+    bool refused = false; ///< The host refused the connection, so no database runs there.
+};
+
 /// Makes a database the primary of a term; the answer goes to ControlCore::onPromoted.
 struct PromoteBackend {
     BackendId backend;
--- a/include/daisyrelay/control/controlcore.h
+++ b/include/daisyrelay/control/controlcore.h
@@ -4,6 +4,14 @@
 
 #include "daisyrelay/control/controlactions.h"
 #include "daisyrelay/control/controlstate.h"
+#include "daisyrelay/control/controltiming.h"
+#include "daisyrelay/control/entrysessions.h"
+#include "daisyrelay/control/failuredetector.h"
+#include "daisyrelay/control/groupfailover.h"
+#include "daisyrelay/control/homeassigner.h"
+#include "daisyrelay/control/knownbackends.h"
+#include "daisyrelay/control/leasetables.h"
+#include "daisyrelay/control/memberkeeper.h"
 
 #include <map>
 #include <optional>
@@ -11,22 +19,14 @@
 
 namespace daisyrelay {
 
-/// Durations of leases and failure detection.
-struct ControlTiming {
-    Duration lease = std::chrono::milliseconds(1000);
-    Duration drift = std::chrono::milliseconds(50); ///< Added to each lease by the side that waits for its end.
-    Duration announcementSilence = std::chrono::milliseconds(1500); ///< A primary silent for longer is replaced.
-    Duration unreachable = std::chrono::milliseconds(200); ///< A primary that entries fail to reach for longer.
-    Duration survey = std::chrono::milliseconds(300); ///< How long databases have to tell their positions.
-};
-
 /// Holds no clock, socket or file.
 class ControlCore
 {
 public:
     explicit ControlCore(VmId self, ControlTiming timing = {});
 
-    /// Tells whether this VM leads and may answer, and in which consensus term.
+    /// Tells whether this VM leads and may answer, and in which consensus term. Must be called with the current instant
+    /// before any other input, since a process may have been stopped in between.
     void onLeadership(Instant now, bool leading, Term leaderTerm);
 
     void onCommitted(Instant now, const LogEntry &entry);
@@ -40,9 +40,7 @@
     void onLeaseRequest(Instant now, const LeaseRequest &request);
     void onAnnouncement(Instant now, const BackendAnnouncement &announcement);
     void onConfigChange(Instant now, const VmId &from, const ConfigChangeRequest &request);
-
-    /// \p point is empty if the database did not answer.
-    void onSurveyed(Instant now, const BackendId &backend, std::optional<LogPoint> point);
+    void onSurveyed(Instant now, const SurveyAnswer &answer);
 
     /// \p point is empty if the promotion failed.
     void onPromoted(Instant now, const BackendId &backend, Term term, std::optional<LogPoint> point);
@@ -56,59 +54,71 @@
     /// Returns the entries that hold a live lease, with the configuration version each has in force.
     [[nodiscard]] std::map<VmId, std::uint64_t> liveEntries(Instant now) const;
 
-private:
-    struct EntrySession {
-        ZoneId zone;
-        Instant leaseUntil {};
-        std::uint64_t confirmedVersion = 0;
-        std::uint64_t configVersion = 0;
-        std::map<BackendId, BackendView> views;
-    };
+    /// Returns the stage of the failover of each group that changes its primary now.
+    [[nodiscard]] std::map<GroupKey, FailoverStage> failovers() const;
+
+    /// Returns the homes as the current table grants them.
+    [[nodiscard]] std::vector<HomeGrant> homes() const;
 
-    struct KnownBackend {
-        BackendAnnouncement announcement;
-        Instant heardAt {};
-        Instant followSentAt {};
+private:
+    /// Why a database was asked for its position.
+    enum class Question : std::uint8_t {
+        Probe,
+        Survey,
+        Mark, ///< For the end of a change of members.
     };
 
-    enum class FailoverStage : std::uint8_t {
-        Revoking,
-        Surveying,
-        Promoting,
+    struct OpenQuestion {
+        Question question = Question::Probe;
+        BackendId backend;
+        GroupKey group;
     };
 
-    struct Failover {
-        FailoverStage stage = FailoverStage::Revoking;
-        Term term = 0;
-        std::uint64_t revokedInVersion = 0; ///< Table version without a primary; zero until it is committed.
-        Instant deadline {};
-        std::map<BackendId, std::optional<LogPoint>> surveyed;
-        std::set<BackendId> asked;
-        BackendId candidate;
+    struct WaitingChange {
+        Instant proposedAt {};
+        std::map<VmId, std::uint64_t> askers; ///< The request id of each VM that waits for the answer.
     };
 
-    void startFailover(Instant now, const GroupKey &group);
-    void advanceFailover(Instant now, const GroupKey &group, Failover &failover);
-    void promoteBest(Instant now, const GroupKey &group, Failover &failover);
-    void followPrimaries(Instant now);
+    void lead(Instant now, Term leaderTerm);
+    void resume();
+    void applyChange(const ConfigChange &change, std::uint64_t logIndex);
+    void answerChange(const VmId &to, std::uint64_t requestId, const ConfigOutcome &outcome);
+    void watchGroup(Instant now, const GroupKey &group);
+    void watchPrimary(Instant now, const GroupTerm &term, const GroupMembers &members);
+    void startFailover(Instant now, const GroupKey &group, bool planned);
+    void advanceFailover(Instant now, const GroupKey &group, GroupFailover &failover);
+    void followPrimary(Instant now, const GroupTerm &term);
     void assignHomes(Instant now);
-    void rebuildTable(Instant now);
+    void removeGoneEntries(Instant now);
+    void ask(Question question, const GroupKey &group, const BackendId &backend);
+    void propose(ControlCommand command);
+    void updateTerms();
     void pushTable(Instant now);
-    void grant(Instant now, const VmId &to, std::uint64_t nonce);
-    [[nodiscard]] bool isSuspect(Instant now, const GroupTerm &term) const;
-    [[nodiscard]] bool allRevoked(Instant now, std::uint64_t version) const;
-    [[nodiscard]] std::optional<VmId> pickHome(Instant now, const BackendAnnouncement &announcement) const;
+    void grant(const VmId &to, std::uint64_t nonce);
+    [[nodiscard]] PrimaryEvidence evidenceOf(Instant now, const GroupTerm &term) const;
+    [[nodiscard]] bool canHandOver(Instant now, const GroupTerm &term, const GroupMembers &members) const;
 
     VmId self_;
     ControlTiming timing_;
     ControlState state_;
     bool leading_ = false;
-    Instant leadingSince_ {};
-    LeaseTable table_;
-    std::map<VmId, EntrySession> entries_;
-    std::map<BackendId, KnownBackend> backends_;
-    std::map<GroupKey, Failover> failovers_;
-    std::map<std::string, std::pair<VmId, std::uint64_t>> waitingChanges_;
+    EntrySessions sessions_;
+    LeaseTables tables_;
+    KnownBackends backends_;
+    HomeAssigner homes_;
+    FailureDetector detector_;
+    MemberKeeper members_;
+    std::map<GroupKey, GroupFailover> failovers_;
+    std::map<GroupKey, Instant> handoverRetryAt_;
+    std::map<std::uint64_t, OpenQuestion> questions_;
+    std::uint64_t nextTicket_ = 1;
+    std::map<std::string, WaitingChange> waitingChanges_;
+    std::map<VmId, Instant> registering_; ///< Entries whose registration or removal was proposed.
+    std::set<VmId> removing_; ///< Entries that get no lease while their removal is on its way.
+    std::set<BackendId> badBackends_; ///< Databases that some entry with a live lease complains of.
+    std::uint64_t pushedVersion_ = 0;
+    bool sharesMayChange_ = true;
+    Instant sharesCheckedAt_ {};
     std::vector<ControlAction> actions_;
 };
 
--- a/include/daisyrelay/control/leaseholder.h
+++ b/include/daisyrelay/control/leaseholder.h
@@ -5,6 +5,7 @@
 #include "daisyrelay/wire.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace daisyrelay {
@@ -13,7 +14,8 @@
 class LeaseHolder
 {
 public:
-    LeaseHolder(VmId vm, ZoneId zone, std::vector<VmId> controlVms);
+    /// \p firstNonce must differ between runs of one VM, so that a grant to a former run renews nothing.
+    LeaseHolder(VmId vm, ZoneId zone, std::vector<VmId> controlVms, std::uint64_t firstNonce = 1);
 
     /// A request and the control VMs that it goes to; empty if none is due.
     struct Renewal {
@@ -21,8 +23,10 @@
         LeaseRequest request;
     };
 
+    /// \p releasing names the databases of which this entry holds more connections than the table grants.
     /// \returns the renewal that is due at \p now.
-    Renewal tick(Instant now, const std::vector<BackendView> &views, std::uint64_t configVersion);
+    Renewal tick(Instant now, const std::vector<BackendView> &views, std::uint64_t configVersion,
+        const std::vector<BackendId> &releasing = {});
 
     /// Takes in a grant. \returns whether the lease or its table changed.
     bool onGrant(Instant now, const VmId &from, const LeaseGrant &grant);
@@ -30,12 +34,17 @@
     [[nodiscard]] const LeaseState &state() const;
 
 private:
+    void merge(const LeaseTable &table);
+    void dropLapsed(Instant now);
+
     VmId vm_;
     ZoneId zone_;
     std::vector<VmId> controlVms_;
     VmId leader_; ///< The control VM that granted last.
     Instant grantedAt_ {};
     Instant renewAt_ {};
+    std::set<BackendId> badBackends_; ///< Reported by the last heartbeat.
+    bool needsWholeTable_ = false; ///< Shares were dropped with the lease; only a complete table brings them back.
     std::uint64_t nextNonce_ = 1;
     std::map<std::uint64_t, Instant> sent_;
     LeaseState state_;
--- a/include/daisyrelay/relay/relaycore.h
+++ b/include/daisyrelay/relay/relaycore.h
@@ -76,6 +76,9 @@
     /// Returns this entry's view of each backend server it works with, for the lease request.
     [[nodiscard]] std::vector<BackendView> views(Instant now) const;
 
+    /// Returns the databases of which more connections are open than the lease grants now.
+    [[nodiscard]] std::vector<BackendId> overShare(Instant now) const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/include/daisyrelay/wire/leasemessages.h
+++ b/include/daisyrelay/wire/leasemessages.h
@@ -36,9 +36,9 @@
 /// Makes one entry the home of a database: the only one that uses the leased part of its connections.
 struct HomeGrant {
     BackendId backend;
-    VmId entry;
+    VmId entry; ///< Empty while the database has no home.
     std::uint32_t leasedConnections = 0; ///< For the home alone, beside its fixed share.
-    std::uint32_t fixedConnections = 0; ///< For each registered entry, also without a live lease.
+    std::uint32_t fixedConnections = 0; ///< For the entry that the table was sent to, also without a live lease.
 
     bool operator==(const HomeGrant &) const = default;
 
@@ -49,17 +49,19 @@
     }
 };
 
-/// Everything that a lease covers.
+/// Everything that a lease covers. On its way to an entry it holds only what changed since \c baseVersion.
 struct LeaseTable {
     Term leaderTerm = 0; ///< Consensus term of the control VM that made the table.
     std::uint64_t version = 0; ///< Order of the tables of one leader.
+    std::uint64_t baseVersion = 0; ///< Zero: complete. Else terms and homes that changed after this version.
+    bool keepsHomes = false; ///< The homes of the former leader stay as they are, until this one has learned them.
     std::vector<GroupTerm> terms;
     std::vector<HomeGrant> homes;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(leaderTerm, version, terms, homes);
+        archive(leaderTerm, version, baseVersion, keepsHomes, terms, homes);
     }
 };
 
@@ -83,14 +85,17 @@
     std::uint64_t nonce = 0; ///< Names the request, so that the grant is counted from its sending.
     Term tableLeaderTerm = 0;
     std::uint64_t tableVersion = 0;
+    bool wantsWholeTable = false; ///< The entry dropped rows when its lease ran out.
     std::uint64_t configVersion = 0;
-    std::vector<HomeGrant> homes; ///< Grants that the entry holds, for a new leader to learn.
-    std::vector<BackendView> views;
+    std::vector<HomeGrant> homes; ///< Shares that the entry holds, for a new leader to learn while it keeps homes.
+    std::vector<BackendId> releasing; ///< Databases of which it still holds more connections than the table grants.
+    std::vector<BackendView> views; ///< Only of the databases that look bad.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(entry, zone, nonce, tableLeaderTerm, tableVersion, configVersion, homes, views);
+        archive(
+            entry, zone, nonce, tableLeaderTerm, tableVersion, wantsWholeTable, configVersion, homes, releasing, views);
     }
 };
 
--- a/lib/control/controlcore.cpp
+++ b/lib/control/controlcore.cpp
@@ -1,30 +1,59 @@
 #include "daisyrelay/control/controlcore.h"
 
-#include <algorithm>
+#include "configsummary.h"
 
 namespace daisyrelay {
 
-static constexpr Duration FollowInterval = std::chrono::milliseconds(500);
-static constexpr std::uint32_t FixedShare = 1;
+static constexpr Duration ProposalInterval = std::chrono::milliseconds(500);
 
-ControlCore::ControlCore(VmId self, ControlTiming timing) : self_(std::move(self)), timing_(timing)
+ControlCore::ControlCore(VmId self, ControlTiming timing)
+    : self_(std::move(self)), timing_(timing), sessions_(timing), detector_(timing), members_(timing)
 {
 }
 
 void ControlCore::onLeadership(Instant now, bool leading, Term leaderTerm)
 {
-    if (leading && (!leading_ || table_.leaderTerm != leaderTerm)) {
-        leadingSince_ = now;
-        table_ = {};
-        table_.leaderTerm = leaderTerm;
-        entries_.clear();
-        failovers_.clear();
-        leading_ = true;
-        rebuildTable(now);
+    if (leading && tables_.leaderTerm() != leaderTerm) {
+        lead(now, leaderTerm);
+    } else if (leading && !leading_) {
+        resume();
+    }
+    if (leading_ && !leading) {
+        waitingChanges_.clear();
     }
     leading_ = leading;
 }
 
+void ControlCore::lead(Instant now, Term leaderTerm)
+{
+    leading_ = true;
+    tables_.reset(leaderTerm);
+    sessions_.reset(now);
+    homes_.reset();
+    detector_.reset();
+    members_.reset();
+    failovers_.clear();
+    questions_.clear();
+    waitingChanges_.clear();
+    registering_.clear();
+    removing_.clear();
+    sharesMayChange_ = true;
+    pushedVersion_ = 0;
+    updateTerms();
+    pushTable(now);
+}
+
+void ControlCore::resume()
+{
+    // Proposals and answers of databases may have been lost meanwhile. The leases and shares granted before still hold.
+    detector_.reset();
+    members_.reset();
+    failovers_.clear();
+    questions_.clear();
+    registering_.clear();
+    sharesMayChange_ = true;
+}
+
 void ControlCore::onCommitted(Instant now, const LogEntry &entry)
 {
     if (entry.command.empty()) {
@@ -35,29 +64,46 @@
         return;
     }
     if (const auto *change = std::get_if<ConfigChange>(&*command); change != nullptr) {
-        const ConfigOutcome outcome = state_.apply(*change, entry.index);
-        if (const auto waiting = waitingChanges_.find(change->changeId); waiting != waitingChanges_.end()) {
-            const auto &[vm, requestId] = waiting->second;
-            actions_.emplace_back(ControlSend {
-                vm, ConfigChangeAnswer { requestId, outcome.accepted, outcome.error, "", outcome.version } });
-            waitingChanges_.erase(waiting);
+        applyChange(*change, entry.index);
+        return;
+    }
+    if (const auto *registration = std::get_if<EntryRegistration>(&*command); registration != nullptr) {
+        sharesMayChange_ = state_.apply(*registration) || sharesMayChange_;
+        registering_.erase(registration->entry);
+        removing_.erase(registration->entry);
+        if (!registration->registered) {
+            homes_.forget(registration->entry);
         }
-        if (leading_) {
-            pushTable(now);
+        return;
+    }
+    if (const auto *term = std::get_if<GroupTermCommand>(&*command); term != nullptr) {
+        if (state_.apply(*term) && leading_ && !term->term.primary.empty()) {
+            failovers_.erase(term->term.group);
+            followPrimary(now, term->term);
+        }
+    } else if (const auto *members = std::get_if<GroupMembersCommand>(&*command); members != nullptr) {
+        state_.apply(*members);
+    }
+    if (leading_) {
+        updateTerms();
+        pushTable(now);
+    }
+}
+
+void ControlCore::applyChange(const ConfigChange &change, std::uint64_t logIndex)
+{
+    const ConfigOutcome outcome = state_.apply(change, logIndex);
+    if (const auto waiting = waitingChanges_.find(change.changeId); waiting != waitingChanges_.end()) {
+        for (const auto &[vm, requestId] : waiting->second.askers) {
+            answerChange(vm, requestId, outcome);
         }
+        waitingChanges_.erase(waiting);
+    }
+    if (!leading_) {
         return;
     }
-    const bool changed = std::visit(
-        [this](const auto &other) {
-            if constexpr (std::is_same_v<std::decay_t<decltype(other)>, ConfigChange>) {
-                return false;
-            } else {
-                return state_.apply(other);
-            }
-        },
-        *command);
-    if (changed && leading_) {
-        rebuildTable(now);
+    for (const auto &[vm, session] : sessions_.all()) {
+        grant(vm, 0);
     }
 }
 
@@ -69,7 +115,8 @@
     }
     state_ = std::move(*restored);
     if (leading_) {
-        rebuildTable(now);
+        updateTerms();
+        pushTable(now);
     }
     return {};
 }
@@ -81,112 +128,74 @@
 
 void ControlCore::onLeaseRequest(Instant now, const LeaseRequest &request)
 {
-    if (!leading_) {
+    if (!leading_ || removing_.contains(request.entry)) {
         return;
     }
-    const bool isNew = !entries_.contains(request.entry);
-    EntrySession &session = entries_[request.entry];
-    session.zone = request.zone;
-    session.configVersion = request.configVersion;
-    session.leaseUntil = now + timing_.lease + timing_.drift;
-    if (request.tableLeaderTerm == table_.leaderTerm) {
-        session.confirmedVersion = std::max(session.confirmedVersion, request.tableVersion);
-    }
-    session.views.clear();
-    for (const BackendView &view : request.views) {
-        session.views[view.backend] = view;
-    }
-    if (isNew) {
-        for (const HomeGrant &held : request.homes) {
-            const bool known = std::any_of(table_.homes.begin(), table_.homes.end(),
-                [&held](const HomeGrant &grant) { return grant.backend == held.backend; });
-            if (!known) {
-                table_.homes.push_back(held);
-            }
+    const auto registered = state_.entries().find(request.entry);
+    if (registered == state_.entries().end() || registered->second != request.zone) {
+        Instant &proposedAt = registering_[request.entry];
+        if (proposedAt == Instant {} || now >= proposedAt + ProposalInterval) {
+            proposedAt = now;
+            propose(EntryRegistration { request.entry, request.zone, true });
         }
-        rebuildTable(now);
+        return;
     }
-    grant(now, request.entry, request.nonce);
+    const EntrySession *before = sessions_.find(request.entry);
+    const std::uint64_t confirmedBefore = before == nullptr ? 0 : before->confirmedVersion;
+    const bool wasReleasing = before != nullptr && !before->releasing.empty();
+    const bool isNew = sessions_.heartbeat(now, request, tables_.leaderTerm());
+    const EntrySession &session = *sessions_.find(request.entry);
+    const bool confirms = session.confirmedVersion != confirmedBefore || !session.releasing.empty() || wasReleasing;
+    if (confirms && request.tableLeaderTerm == tables_.leaderTerm()) {
+        homes_.confirm(request.entry, request.tableVersion, request.releasing);
+    }
+    sharesMayChange_ = sharesMayChange_ || isNew || confirms;
+    grant(request.entry, request.nonce);
 }
 
 void ControlCore::onAnnouncement(Instant now, const BackendAnnouncement &announcement)
 {
-    KnownBackend &known = backends_[announcement.id];
-    known.announcement = announcement;
-    known.heardAt = now;
+    sharesMayChange_ = backends_.announce(now, announcement) || sharesMayChange_;
 }
 
-void ControlCore::onConfigChange(Instant /*now*/, const VmId &from, const ConfigChangeRequest &request)
+void ControlCore::onConfigChange(Instant now, const VmId &from, const ConfigChangeRequest &request)
 {
     if (!leading_) {
         actions_.emplace_back(ControlSend { from,
             ConfigChangeAnswer { request.requestId, false, ErrorKind::NoQuorum, "this control VM does not lead", 0 } });
         return;
     }
+    if (const std::optional<ConfigOutcome> known = state_.outcomeOf(request.change.changeId); known) {
+        answerChange(from, request.requestId, *known);
+        return;
+    }
     if (const Expected<Configuration> parsed = parseConfiguration(request.change.configJson); !parsed) {
         actions_.emplace_back(ControlSend { from,
             ConfigChangeAnswer {
                 request.requestId, false, ErrorKind::InvalidConfig, parsed.error().detail, state_.configVersion() } });
         return;
     }
-    waitingChanges_[request.change.changeId] = { from, request.requestId };
-    actions_.emplace_back(ProposeCommand { request.change });
-}
-
-void ControlCore::onSurveyed(Instant now, const BackendId &backend, std::optional<LogPoint> point)
-{
-    const auto known = backends_.find(backend);
-    if (known == backends_.end()) {
-        return;
-    }
-    const GroupKey &group = known->second.announcement.group;
-    const auto failover = failovers_.find(group);
-    if (failover == failovers_.end() || failover->second.stage != FailoverStage::Surveying) {
+    WaitingChange &waiting = waitingChanges_[request.change.changeId];
+    waiting.askers[from] = request.requestId;
+    if (waiting.proposedAt != Instant {} && now < waiting.proposedAt + ProposalInterval) {
         return;
     }
-    failover->second.surveyed[backend] = point;
-    advanceFailover(now, group, failover->second);
+    waiting.proposedAt = now;
+    ConfigChange change = request.change;
+    change.through = from;
+    change.summary = summarizeChange(state_.configJson(), change.configJson);
+    propose(std::move(change));
 }
 
-void ControlCore::onPromoted(Instant now, const BackendId &backend, Term term, std::optional<LogPoint> point)
+void ControlCore::answerChange(const VmId &to, std::uint64_t requestId, const ConfigOutcome &outcome)
 {
-    for (auto &[group, failover] : failovers_) {
-        if (failover.stage != FailoverStage::Promoting || failover.candidate != backend || failover.term != term) {
-            continue;
-        }
-        if (!point) {
-            failover.stage = FailoverStage::Surveying;
-            failover.surveyed.clear();
-            failover.asked.clear();
-            failover.deadline = now + timing_.survey;
-            return;
-        }
-        actions_.emplace_back(ProposeCommand { GroupTermCommand { { group, term, backend, point->position } } });
-        return;
-    }
+    actions_.emplace_back(
+        ControlSend { to, ConfigChangeAnswer { requestId, outcome.accepted, outcome.error, "", outcome.version } });
 }
 
-void ControlCore::tick(Instant now)
+void ControlCore::propose(ControlCommand command)
 {
-    if (!leading_) {
-        return;
-    }
-    for (const auto &[id, backend] : backends_) {
-        const GroupKey &group = backend.announcement.group;
-        const auto term = state_.terms().find(group);
-        if (!failovers_.contains(group) && (term == state_.terms().end() || isSuspect(now, term->second))) {
-            startFailover(now, group);
-        }
-    }
-    for (auto &[group, failover] : failovers_) {
-        advanceFailover(now, group, failover);
-    }
-    std::erase_if(failovers_, [this](const auto &entry) {
-        const auto term = state_.terms().find(entry.first);
-        return term != state_.terms().end() && term->second.term >= entry.second.term && !term->second.primary.empty();
-    });
-    followPrimaries(now);
-    assignHomes(now);
+    actions_.emplace_back(ProposeCommand { std::move(command) });
 }
 
 std::vector<ControlAction> ControlCore::takeActions()
@@ -202,7 +211,7 @@
 std::map<VmId, std::uint64_t> ControlCore::liveEntries(Instant now) const
 {
     std::map<VmId, std::uint64_t> result;
-    for (const auto &[vm, session] : entries_) {
+    for (const auto &[vm, session] : sessions_.all()) {
         if (session.leaseUntil > now) {
             result.emplace(vm, session.configVersion);
         }
@@ -210,210 +219,91 @@
     return result;
 }
 
-bool ControlCore::isSuspect(Instant now, const GroupTerm &term) const
+std::map<GroupKey, FailoverStage> ControlCore::failovers() const
 {
-    if (term.primary.empty()) {
-        return true;
-    }
-    const auto primary = backends_.find(term.primary);
-    if (primary == backends_.end()) {
-        return now > leadingSince_ + timing_.announcementSilence;
-    }
-    if (now > std::max(primary->second.heardAt, leadingSince_) + timing_.announcementSilence) {
-        return true;
+    std::map<GroupKey, FailoverStage> result;
+    for (const auto &[group, failover] : failovers_) {
+        result.emplace(group, failover.stage());
     }
-    std::size_t against = 0;
-    for (const auto &[vm, session] : entries_) {
-        const auto view = session.views.find(term.primary);
-        if (session.leaseUntil > now && view != session.views.end() && !view->second.reachable
-            && std::chrono::milliseconds(view->second.stalledMs) >= timing_.unreachable) {
-            ++against;
-        }
-    }
-    return against > 0;
+    return result;
 }
 
-void ControlCore::startFailover(Instant now, const GroupKey &group)
+std::vector<HomeGrant> ControlCore::homes() const
 {
-    Failover failover;
-    const auto known = state_.terms().find(group);
-    failover.term = known == state_.terms().end() ? 0 : known->second.term;
-    for (const auto &[id, backend] : backends_) {
-        if (backend.announcement.group == group) {
-            failover.term = std::max(failover.term, backend.announcement.point.term);
-        }
-    }
-    ++failover.term;
-    failover.deadline = now + timing_.lease;
-    actions_.emplace_back(ProposeCommand { GroupTermCommand { { group, failover.term, {}, 0 } } });
-    failovers_.emplace(group, std::move(failover));
+    return tables_.homes();
 }
 
-void ControlCore::advanceFailover(Instant now, const GroupKey &group, Failover &failover)
+void ControlCore::updateTerms()
 {
-    if (failover.stage == FailoverStage::Revoking) {
-        const auto term = state_.terms().find(group);
-        if (term == state_.terms().end() || term->second.term < failover.term) {
-            return;
-        }
-        if (failover.revokedInVersion == 0) {
-            failover.revokedInVersion = table_.version;
-        }
-        if (!allRevoked(now, failover.revokedInVersion)) {
-            return;
-        }
-        failover.stage = FailoverStage::Surveying;
-        failover.deadline = now + timing_.survey;
-    }
-    if (failover.stage != FailoverStage::Surveying) {
-        return;
-    }
-    bool complete = true;
-    for (const auto &[id, backend] : backends_) {
-        const BackendAnnouncement &announcement = backend.announcement;
-        if (announcement.group != group) {
-            continue;
-        }
-        if (failover.asked.insert(id).second) {
-            actions_.emplace_back(SurveyBackend { id, { announcement.host, announcement.port } });
+    for (const auto &[group, term] : state_.terms()) {
+        GroupTerm row = term;
+        if (const auto members = state_.members().find(group); members != state_.members().end()) {
+            row.members = members->second.members;
         }
-        complete = complete && failover.surveyed.contains(id);
-    }
-    if (complete || now >= failover.deadline) {
-        promoteBest(now, group, failover);
+        tables_.setTerm(row);
     }
 }
 
-void ControlCore::promoteBest(Instant now, const GroupKey & /*group*/, Failover &failover)
+void ControlCore::pushTable(Instant /*now*/)
 {
-    std::optional<LogPoint> best;
-    for (const auto &[id, point] : failover.surveyed) {
-        if (point && (!best || *point > *best)) {
-            best = point;
-            failover.candidate = id;
-        }
-    }
-    if (!best) {
-        failover.surveyed.clear();
-        failover.asked.clear();
-        failover.deadline = now + timing_.survey;
+    if (pushedVersion_ == tables_.version()) {
         return;
     }
-    failover.stage = FailoverStage::Promoting;
-    const BackendAnnouncement &announcement = backends_.at(failover.candidate).announcement;
-    actions_.emplace_back(
-        PromoteBackend { failover.candidate, { announcement.host, announcement.port }, failover.term });
-}
-
-void ControlCore::followPrimaries(Instant now)
-{
-    for (auto &[id, backend] : backends_) {
-        const auto term = state_.terms().find(backend.announcement.group);
-        if (term == state_.terms().end() || term->second.primary.empty() || term->second.primary == id
-            || now < backend.followSentAt + FollowInterval || now > backend.heardAt + timing_.announcementSilence) {
-            continue;
-        }
-        const bool follows
-            = backend.announcement.role == BackendRole::Replica && backend.announcement.point.term >= term->second.term;
-        const auto primary = backends_.find(term->second.primary);
-        if (follows || primary == backends_.end()) {
-            continue;
-        }
-        backend.followSentAt = now;
-        actions_.emplace_back(FollowPrimary { id, { backend.announcement.host, backend.announcement.port },
-            term->second.term, { primary->second.announcement.host, primary->second.announcement.port } });
+    pushedVersion_ = tables_.version();
+    for (const auto &[vm, zone] : state_.entries()) {
+        grant(vm, 0);
     }
 }
 
-std::optional<VmId> ControlCore::pickHome(Instant now, const BackendAnnouncement &announcement) const
+void ControlCore::grant(const VmId &to, std::uint64_t nonce)
 {
-    std::optional<VmId> best;
-    std::pair<bool, std::size_t> bestCost;
-    for (const auto &[vm, session] : entries_) {
-        if (session.leaseUntil <= now) {
-            continue;
-        }
-        const auto held = static_cast<std::size_t>(std::count_if(table_.homes.begin(), table_.homes.end(),
-            [&entry = vm](const HomeGrant &grant) { return grant.entry == entry; }));
-        const std::pair<bool, std::size_t> cost(session.zone != announcement.zone, held);
-        if (!best || cost < bestCost) {
-            best = vm;
-            bestCost = cost;
-        }
+    const EntrySession *session = sessions_.find(to);
+    LeaseGrant message;
+    message.nonce = nonce;
+    message.durationMs
+        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(timing_.lease).count());
+    message.table = tables_.tableFor(to, session == nullptr ? 0 : session->reportedVersion);
+    message.table.keepsHomes = !homes_.knowsLeases();
+    message.configVersion = state_.configVersion();
+    if (session != nullptr && session->configVersion < state_.configVersion()) {
+        message.configJson = state_.configJson();
     }
-    return best;
+    actions_.emplace_back(ControlSend { to, std::move(message) });
 }
 
 void ControlCore::assignHomes(Instant now)
 {
-    // Entries that the previous leader knew may still hold a lease.
-    if (now < leadingSince_ + timing_.lease + timing_.drift) {
+    // Leases end without an event, so the shares are looked at again from time to time.
+    if (!sharesMayChange_ && now < sharesCheckedAt_ + timing_.homeSilence) {
         return;
     }
-    bool changed = std::erase_if(table_.homes, [this, now](const HomeGrant &grant) {
-        const auto session = entries_.find(grant.entry);
-        return session == entries_.end() || session->second.leaseUntil <= now;
-    }) > 0;
-    for (const auto &[id, backend] : backends_) {
-        const bool known = std::any_of(table_.homes.begin(), table_.homes.end(),
-            [&home = id](const HomeGrant &grant) { return grant.backend == home; });
-        if (known) {
-            continue;
-        }
-        const std::optional<VmId> home = pickHome(now, backend.announcement);
-        if (!home) {
-            continue;
-        }
-        const auto fixed = static_cast<std::uint32_t>(FixedShare * entries_.size());
-        const std::uint32_t leased
-            = backend.announcement.connections - std::min(backend.announcement.connections, fixed);
-        table_.homes.push_back({ id, *home, leased, FixedShare });
-        changed = true;
-    }
-    if (changed) {
-        rebuildTable(now);
-    }
-}
-
-void ControlCore::rebuildTable(Instant now)
-{
-    ++table_.version;
-    table_.terms.clear();
-    for (const auto &[group, term] : state_.terms()) {
-        table_.terms.push_back(term);
+    sharesMayChange_ = false;
+    sharesCheckedAt_ = now;
+    if (!homes_.learnLeases(now, state_.entries(), sessions_)) {
+        return;
     }
-    pushTable(now);
-}
-
-void ControlCore::pushTable(Instant now)
-{
-    for (const auto &[vm, session] : entries_) {
-        grant(now, vm, 0);
+    bool changed = false;
+    for (const auto &[id, backend] : backends_.all()) {
+        changed = homes_.assign(now, backend.announcement, state_.entries(), sessions_, tables_) || changed;
     }
+    sharesMayChange_ = changed;
 }
 
-void ControlCore::grant(Instant /*now*/, const VmId &to, std::uint64_t nonce)
+void ControlCore::removeGoneEntries(Instant now)
 {
-    LeaseGrant message;
-    message.nonce = nonce;
-    message.durationMs
-        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(timing_.lease).count());
-    message.table = table_;
-    message.configVersion = state_.configVersion();
-    if (entries_.at(to).configVersion < state_.configVersion()) {
-        message.configJson = state_.configJson();
-    }
-    actions_.emplace_back(ControlSend { to, std::move(message) });
-}
-
-bool ControlCore::allRevoked(Instant now, std::uint64_t version) const
-{
-    if (now < leadingSince_ + timing_.lease + timing_.drift) {
-        return false;
+    for (const auto &[vm, zone] : state_.entries()) {
+        const EntrySession *session = sessions_.find(vm);
+        const Instant heardAt = session == nullptr ? sessions_.since() : session->heardAt;
+        if (now < heardAt + timing_.entryGone) {
+            continue;
+        }
+        Instant &proposedAt = registering_[vm];
+        if (proposedAt == Instant {} || now >= proposedAt + ProposalInterval) {
+            proposedAt = now;
+            removing_.insert(vm);
+            propose(EntryRegistration { vm, zone, false });
+        }
     }
-    return std::all_of(entries_.begin(), entries_.end(), [now, version](const auto &entry) {
-        return entry.second.leaseUntil <= now || entry.second.confirmedVersion >= version;
-    });
 }
 
 } // namespace daisyrelay
--- /dev/null
+++ b/lib/control/entrysessions.cpp
@@ -0,0 +1,68 @@
+#include "daisyrelay/control/entrysessions.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+EntrySessions::EntrySessions(ControlTiming timing) : timing_(timing)
+{
+}
+
+void EntrySessions::reset(Instant now)
+{
+    since_ = now;
+    sessions_.clear();
+}
+
+bool EntrySessions::heartbeat(Instant now, const LeaseRequest &request, Term leaderTerm)
+{
+    EntrySession &session = sessions_[request.entry];
+    const bool isNew = session.leaseUntil <= now;
+    session.zone = request.zone;
+    session.heardAt = now;
+    session.leaseUntil = now + timing_.lease + timing_.drift;
+    session.configVersion = request.configVersion;
+    session.badViews = request.views;
+    session.releasing = request.releasing;
+    session.reportedVersion = 0;
+    if (request.tableLeaderTerm == leaderTerm) {
+        session.reportedVersion = request.wantsWholeTable ? 0 : request.tableVersion;
+        session.confirmedVersion = std::max(session.confirmedVersion, request.tableVersion);
+        if (!request.homes.empty()) {
+            session.held = request.homes;
+        }
+    }
+    return isNew;
+}
+
+bool EntrySessions::mayHoldLease(Instant now, const VmId &entry) const
+{
+    const EntrySession *session = find(entry);
+    return now < (session == nullptr ? since_ + timing_.lease + timing_.drift : session->leaseUntil);
+}
+
+bool EntrySessions::allConfirmed(Instant now, std::uint64_t version, const std::map<VmId, ZoneId> &registered) const
+{
+    return std::all_of(registered.begin(), registered.end(), [this, now, version](const auto &entry) {
+        const EntrySession *session = find(entry.first);
+        return !mayHoldLease(now, entry.first) || (session != nullptr && session->confirmedVersion >= version);
+    });
+}
+
+const std::map<VmId, EntrySession> &EntrySessions::all() const
+{
+    return sessions_;
+}
+
+const EntrySession *EntrySessions::find(const VmId &entry) const
+{
+    const auto found = sessions_.find(entry);
+    return found == sessions_.end() ? nullptr : &found->second;
+}
+
+Instant EntrySessions::since() const
+{
+    return since_;
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/control/homeassigner.cpp
@@ -0,0 +1,206 @@
+#include "daisyrelay/control/homeassigner.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+static constexpr std::uint32_t FixedShare = 1;
+static constexpr std::uint32_t ControlReserve = 1; // Surveys and probes.
+static constexpr std::uint32_t WatchReserve = 1; // The home of the primary watches each replica.
+static constexpr std::size_t MoveDifference = 2; // A home moves only to an entry that has this many fewer.
+
+void HomeAssigner::reset()
+{
+    leasesKnown_ = false;
+    shares_.clear();
+    homesHeld_.clear();
+}
+
+bool HomeAssigner::learnLeases(Instant now, const std::map<VmId, ZoneId> &registered, const EntrySessions &sessions)
+{
+    // Each entry either told what it holds, or has no lease any more.
+    leasesKnown_ = leasesKnown_ || sessions.allConfirmed(now, 1, registered);
+    return leasesKnown_;
+}
+
+bool HomeAssigner::knowsLeases() const
+{
+    return leasesKnown_;
+}
+
+void HomeAssigner::confirm(const VmId &entry, std::uint64_t version, const std::vector<BackendId> &releasing)
+{
+    for (auto &[backend, shares] : shares_) {
+        if (std::find(releasing.begin(), releasing.end(), backend) == releasing.end()) {
+            shares.ledger.confirm(entry, version);
+        }
+    }
+}
+
+void HomeAssigner::learnShares(Instant now, Shares &shares, const BackendAnnouncement &announcement,
+    const std::map<VmId, ZoneId> &registered, const EntrySessions &sessions)
+{
+    for (const auto &[vm, zone] : registered) {
+        const EntrySession *session = sessions.find(vm);
+        if (session == nullptr) {
+            // It is cut off and may go on using a fixed share of the former leader.
+            shares.ledger.grant(vm, 0, zone == announcement.zone ? FixedShare : 0, 0);
+            continue;
+        }
+        for (const HomeGrant &held : session->held) {
+            if (held.backend != announcement.id) {
+                continue;
+            }
+            const bool home = held.entry == vm && sessions.mayHoldLease(now, vm);
+            shares.ledger.grant(vm, 0, held.fixedConnections, home ? held.leasedConnections : 0);
+            if (home) {
+                setHome(shares, vm);
+            }
+        }
+    }
+}
+
+void HomeAssigner::forget(const VmId &entry)
+{
+    for (auto &[backend, shares] : shares_) {
+        shares.ledger.forget(entry);
+        if (shares.home == entry) {
+            setHome(shares, {});
+        }
+    }
+}
+
+void HomeAssigner::setHome(Shares &shares, const VmId &home)
+{
+    if (!shares.home.empty()) {
+        --homesHeld_[shares.home];
+    }
+    if (!home.empty()) {
+        ++homesHeld_[home];
+    }
+    shares.home = home;
+}
+
+void HomeAssigner::endLeases(Instant now, Shares &shares, const EntrySessions &sessions)
+{
+    for (const VmId &entry : shares.ledger.entries()) {
+        if (!sessions.mayHoldLease(now, entry)) {
+            shares.ledger.leaseEnded(entry);
+        }
+    }
+    if (!shares.home.empty() && !sessions.mayHoldLease(now, shares.home)) {
+        setHome(shares, {});
+    }
+}
+
+void HomeAssigner::chooseHome(
+    Instant now, Shares &shares, const BackendAnnouncement &announcement, const EntrySessions &sessions)
+{
+    const auto heldBy = [this](const VmId &vm) {
+        const auto held = homesHeld_.find(vm);
+        return held == homesHeld_.end() ? std::size_t(0) : held->second;
+    };
+    const VmId *best = nullptr;
+    std::pair<bool, std::size_t> bestCost;
+    for (const auto &[vm, session] : sessions.all()) {
+        if (session.leaseUntil <= now) {
+            continue;
+        }
+        const std::pair cost(session.zone != announcement.zone, heldBy(vm));
+        if (best == nullptr || cost < bestCost) {
+            best = &vm;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr || *best == shares.home) {
+        return;
+    }
+    if (shares.home.empty()) {
+        setHome(shares, *best);
+        return;
+    }
+    // The home of a primary remembers idempotency keys, so it does not move to even out the load.
+    const bool far = sessions.find(shares.home)->zone != announcement.zone;
+    const bool crowded
+        = !far && announcement.role == BackendRole::Replica && heldBy(shares.home) >= heldBy(*best) + MoveDifference;
+    if (!bestCost.first && (far || crowded)) {
+        setHome(shares, *best);
+    }
+}
+
+std::map<VmId, std::uint32_t> HomeAssigner::wantedFixedShares(
+    const BackendAnnouncement &announcement, std::uint32_t capacity, const std::map<VmId, ZoneId> &registered)
+{
+    std::uint32_t left = capacity - std::min(capacity, announcement.slots + WatchReserve);
+    std::map<VmId, std::uint32_t> result;
+    for (const auto &[vm, zone] : registered) {
+        if (zone == announcement.zone && left >= FixedShare) {
+            result[vm] = FixedShare;
+            left -= FixedShare;
+        }
+    }
+    return result;
+}
+
+void HomeAssigner::shrink(
+    Shares &shares, std::uint64_t version, const std::map<VmId, std::uint32_t> &wanted, std::uint32_t wantedLeased)
+{
+    for (const VmId &vm : shares.ledger.entries()) {
+        const auto fixed = wanted.find(vm);
+        const std::uint32_t kept = fixed == wanted.end() ? 0 : fixed->second;
+        const auto [lastFixed, lastLeased] = shares.ledger.lastGrant(vm);
+        const std::uint32_t leased = vm == shares.home ? std::min(lastLeased, wantedLeased) : 0;
+        shares.ledger.grant(vm, version, std::min(lastFixed, kept), leased);
+    }
+}
+
+bool HomeAssigner::mayLease(Instant now, const Shares &shares, const BackendId &backend, const EntrySessions &sessions)
+{
+    if (shares.home.empty()) {
+        return false;
+    }
+    for (const VmId &vm : shares.ledger.entries()) {
+        if (vm != shares.home && shares.ledger.mayUseLeased(vm)) {
+            return false;
+        }
+    }
+    return std::none_of(sessions.all().begin(), sessions.all().end(), [&](const auto &entry) {
+        const std::vector<BackendId> &releasing = entry.second.releasing;
+        return entry.first != shares.home && sessions.mayHoldLease(now, entry.first)
+            && std::find(releasing.begin(), releasing.end(), backend) != releasing.end();
+    });
+}
+
+bool HomeAssigner::assign(Instant now, const BackendAnnouncement &announcement,
+    const std::map<VmId, ZoneId> &registered, const EntrySessions &sessions, LeaseTables &tables)
+{
+    const auto [found, isNew] = shares_.try_emplace(announcement.id);
+    Shares &shares = found->second;
+    const std::uint64_t version = tables.version() + 1;
+    const std::uint32_t capacity = announcement.connections - std::min(announcement.connections, ControlReserve);
+    if (isNew) {
+        learnShares(now, shares, announcement, registered, sessions);
+    }
+    endLeases(now, shares, sessions);
+    chooseHome(now, shares, announcement, sessions);
+    std::map<VmId, std::uint32_t> fixed = wantedFixedShares(announcement, capacity, registered);
+    const std::uint32_t wantedLeased = capacity - static_cast<std::uint32_t>(FixedShare * fixed.size());
+    // Shrinks first; what is taken away counts until it is confirmed.
+    shrink(shares, version, fixed, wantedLeased);
+    for (auto &[vm, share] : fixed) {
+        const std::uint32_t leased = shares.ledger.lastGrant(vm).second;
+        share = std::min(share, capacity - std::min(capacity, shares.ledger.usedByOthers(vm) + leased));
+        shares.ledger.grant(vm, version, share, leased);
+    }
+    HomeGrant grant { announcement.id, {}, 0, 0 };
+    if (mayLease(now, shares, announcement.id, sessions)) {
+        const std::uint32_t own = shares.ledger.lastGrant(shares.home).first;
+        const std::uint32_t room = capacity - std::min(capacity, shares.ledger.usedByOthers(shares.home) + own);
+        grant.entry = shares.home;
+        grant.leasedConnections = std::min(room, wantedLeased);
+        shares.ledger.grant(shares.home, version, own, grant.leasedConnections);
+    }
+    return tables.setHome(grant, fixed);
+}
+
+} // namespace daisyrelay
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -42,13 +42,22 @@
 {
     const Instant now = Clock::now();
     raft_.tick(now);
+    updateLeadership();
     control_.tick(now);
     flush();
 }
 
+void ControlRuntime::updateLeadership()
+{
+    // Asked before every input: the process may have been stopped since the last one.
+    const Instant now = Clock::now();
+    control_.onLeadership(now, raft_.mayAnswer(now), raft_.term());
+}
+
 void ControlRuntime::onMessage(const PeerMessage &message)
 {
     const Instant now = Clock::now();
+    updateLeadership();
     if (const auto *raft = std::get_if<RaftMessage>(&message.payload); raft != nullptr) {
         raft_.receive(now, *raft);
     } else if (const auto *lease = std::get_if<LeaseRequest>(&message.payload); lease != nullptr) {
@@ -73,7 +82,7 @@
         for (const LogEntry &entry : actions.committed) {
             control_.onCommitted(Clock::now(), entry);
         }
-        control_.onLeadership(Clock::now(), raft_.mayAnswer(Clock::now()), raft_.term());
+        updateLeadership();
         for (const ControlAction &action : control_.takeActions()) {
             perform(action);
             busy = true;
@@ -91,10 +100,9 @@
     } else if (const auto *survey = std::get_if<SurveyBackend>(&action); survey != nullptr) {
         request.method = "GET";
         request.target = "/status";
-        ask(survey->address, request, [this, backend = survey->backend](std::optional<HttpResponse> response) {
-            const Expected<LogPoint> point
-                = response ? parseStatusPoint(*response) : tl::unexpected(Error { ErrorKind::BackendUnavailable, "" });
-            control_.onSurveyed(Clock::now(), backend, point ? std::optional(*point) : std::nullopt);
+        ask(survey->address, request, [this, ticket = survey->ticket](const DatabaseAnswer &answer) {
+            updateLeadership();
+            control_.onSurveyed(Clock::now(), { ticket, answer.point(), answer.refused });
             flush();
         });
     } else if (const auto *promote = std::get_if<PromoteBackend>(&action); promote != nullptr) {
@@ -102,10 +110,9 @@
         request.target = "/promote";
         request.body = R"({"term":)" + std::to_string(promote->term) + "}";
         spdlog::info("promoting {} for term {}", promote->backend.value, promote->term);
-        ask(promote->address, request, [this, order = *promote](std::optional<HttpResponse> response) {
-            const Expected<LogPoint> point
-                = response ? parseStatusPoint(*response) : tl::unexpected(Error { ErrorKind::BackendUnavailable, "" });
-            control_.onPromoted(Clock::now(), order.backend, order.term, point ? std::optional(*point) : std::nullopt);
+        ask(promote->address, request, [this, order = *promote](const DatabaseAnswer &answer) {
+            updateLeadership();
+            control_.onPromoted(Clock::now(), order.backend, order.term, answer.point());
             flush();
         });
     } else if (const auto *follow = std::get_if<FollowPrimary>(&action); follow != nullptr) {
@@ -113,22 +120,35 @@
         request.target = "/follow";
         request.body = R"({"term":)" + std::to_string(follow->term) + R"(,"primary":")" + follow->primary.host + ":"
             + std::to_string(follow->primary.port) + R"("})";
-        ask(follow->address, request, [](const std::optional<HttpResponse> &) {});
+        ask(follow->address, request, [](const DatabaseAnswer &) {});
+    }
+}
+
+std::optional<LogPoint> ControlRuntime::DatabaseAnswer::point() const
+{
+    if (!response) {
+        return std::nullopt;
     }
+    const Expected<LogPoint> parsed = parseStatusPoint(*response);
+    return parsed ? std::optional(*parsed) : std::nullopt;
 }
 
 void ControlRuntime::ask(
-    const Endpoint &address, const HttpRequest &request, std::function<void(std::optional<HttpResponse>)> done)
+    const Endpoint &address, const HttpRequest &request, std::function<void(const DatabaseAnswer &)> done)
 {
     auto connection = std::make_shared<HttpConnection>(duty_.context());
-    connection->connect(address, DatabaseTimeout, [connection, request, done = std::move(done)](bool connected) {
-        if (!connected) {
-            done(std::nullopt);
-            return;
-        }
-        connection->request(request, DatabaseTimeout,
-            [connection, done](std::optional<HttpResponse> response) { done(std::move(response)); });
-    });
+    const Instant askedAt = Clock::now();
+    connection->connect(
+        address, DatabaseTimeout, [connection, request, askedAt, done = std::move(done)](bool connected) {
+            if (!connected) {
+                // A failure before the timeout is the host's own answer.
+                done({ std::nullopt, Clock::now() < askedAt + DatabaseTimeout });
+                return;
+            }
+            connection->request(request, DatabaseTimeout, [connection, done](std::optional<HttpResponse> response) {
+                done({ std::move(response), false });
+            });
+        });
 }
 
 std::string ControlRuntime::describe() const
--- a/lib/net/controlruntime.h
+++ b/lib/net/controlruntime.h
@@ -25,11 +25,19 @@
     [[nodiscard]] std::string describe() const;
 
 private:
+    /// What came of a question to a database.
+    struct DatabaseAnswer {
+        std::optional<HttpResponse> response;
+        bool refused = false; ///< The host refused the connection.
+
+        [[nodiscard]] std::optional<LogPoint> point() const;
+    };
+
     void tick();
+    void updateLeadership();
     void flush();
     void perform(const ControlAction &action);
-    void ask(
-        const Endpoint &address, const HttpRequest &request, std::function<void(std::optional<HttpResponse>)> done);
+    void ask(const Endpoint &address, const HttpRequest &request, std::function<void(const DatabaseAnswer &)> done);
 
     Duty &duty_;
     VmId self_;
--- a/lib/net/entryruntime.cpp
+++ b/lib/net/entryruntime.cpp
@@ -59,13 +59,19 @@
     return options;
 }
 
+static std::uint64_t firstNonce()
+{
+    constexpr unsigned HalfOfNonce = 32;
+    return static_cast<std::uint64_t>(std::random_device()()) << HalfOfNonce;
+}
+
 EntryRuntime::EntryRuntime(Duty &duty, const Settings &settings, Counters &counters, Hooks hooks)
     : duty_(duty)
     , settings_(settings)
     , hooks_(std::move(hooks))
     , controlVms_(controlVmsOf(settings))
     , relay_(relayOptions(settings), counters)
-    , lease_(settings.id, settings.zone, controlVms_)
+    , lease_(settings.id, settings.zone, controlVms_, firstNonce())
 {
 }
 
@@ -99,7 +105,8 @@
 void EntryRuntime::renewLease()
 {
     const Instant now = Clock::now();
-    const LeaseHolder::Renewal renewal = lease_.tick(now, relay_.views(now), relay_.configVersion());
+    const LeaseHolder::Renewal renewal
+        = lease_.tick(now, relay_.views(now), relay_.configVersion(), relay_.overShare(now));
     for (const VmId &to : renewal.to) {
         hooks_.sendPeer(to, renewal.request);
     }
--- a/lib/relay/relayimpl.h
+++ b/lib/relay/relayimpl.h
@@ -55,6 +55,9 @@
     void setLease(Instant now, const LeaseState &lease);
     void tick(Instant now);
 
+    // overshare.cpp: connections beyond the grant.
+    [[nodiscard]] std::vector<BackendId> overShare(Instant now) const;
+
     RelayOptions options_;
     Counters &counters_;
     std::mt19937_64 generator_;
--- /dev/null
+++ b/unittests/control/controlpropertytest.cpp
@@ -0,0 +1,165 @@
+#include "fakesystem.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int Groups = 2;
+constexpr int Entries = 5;
+
+/// Fails and repairs one thing at random.
+void disturb(FakeSystem &system)
+{
+    const auto below
+        = [&system](int limit) { return static_cast<int>(system.random() % static_cast<std::uint32_t>(limit)); };
+    auto database = std::next(system.databases.begin(), below(static_cast<int>(system.databases.size())));
+    const GroupTerm *term = system.termOf(1 + below(Groups));
+    if (term != nullptr && !term->primary.empty() && below(2) == 0) {
+        database = system.databases.find(term->primary);
+    }
+    auto entry = std::next(system.entries.begin(), below(static_cast<int>(system.entries.size())));
+    switch (below(14)) {
+    case 0:
+        system.changeLeader(-1);
+        break;
+    case 1:
+        system.changeLeader(below(static_cast<int>(system.cores.size())));
+        break;
+    case 2:
+        system.restartControl(below(static_cast<int>(system.cores.size())));
+        break;
+    case 3:
+        entry->second.cutOff = !entry->second.cutOff;
+        break;
+    case 4:
+        entry->second.pausedUntil = system.now + milliseconds(100 + below(3000));
+        break;
+    case 5:
+        database->second.health = static_cast<FakeHealth>(below(4));
+        break;
+    case 6:
+        entry->second.views = { { database->first, false, 1000 } };
+        break;
+    case 7:
+        entry->second.views.clear();
+        break;
+    case 8:
+        system.longestDelayMs = 1 + below(600);
+        system.lossPercent = below(30);
+        break;
+    case 9:
+        database->second.announcement.leaving = !database->second.announcement.leaving;
+        break;
+    case 10:
+        if (system.entries.size() < Entries + 3) {
+            system.addEntry();
+        }
+        break;
+    default:
+        for (auto &[id, each] : system.databases) {
+            each.health = FakeHealth::Works;
+        }
+        system.longestDelayMs = 5;
+        system.lossPercent = 0;
+        if (system.leader < 0) {
+            system.changeLeader(below(static_cast<int>(system.cores.size())));
+        }
+    }
+}
+
+/// Runs a system through random faults and calls \p check after each step.
+template <typename Check>
+void runDisturbed(std::uint32_t seed, const Check &check)
+{
+    FakeSystem system(seed, 3, Entries);
+    for (int group = 1; group <= Groups; ++group) {
+        for (int zone = 0; zone < 3; ++zone) {
+            system.addDatabase(group, zone, zone == 0 ? 8 : 16);
+        }
+    }
+    system.run(milliseconds(2500));
+    for (int round = 0; round < 14; ++round) {
+        disturb(system);
+        for (int step = 0; step < 30; ++step) {
+            system.run(milliseconds(10));
+            for (int group = 1; group <= Groups; ++group) {
+                system.write(group);
+            }
+            check(system);
+        }
+    }
+}
+
+/// Checks what must hold at every moment of a run.
+class Invariants
+{
+public:
+    void check(const FakeSystem &system)
+    {
+        for (int group = 1; group <= Groups; ++group) {
+            checkTerms(system, group);
+            checkWrites(system, group);
+        }
+        for (const auto &[id, database] : system.databases) {
+            const std::uint32_t used = system.connectionsUsed(id);
+            RC_ASSERT(used <= database.announcement.connections);
+            mostUsed = std::max(mostUsed, used);
+        }
+    }
+
+    std::size_t observed = 0;
+    std::size_t writes = 0;
+    std::size_t terms = 0;
+    std::uint32_t mostUsed = 0;
+
+    std::map<int, Term> highest; ///< Of this run.
+
+private:
+    void checkTerms(const FakeSystem &system, int group)
+    {
+        const std::set<Term> acknowledging = system.acknowledging(group);
+        RC_ASSERT(acknowledging.size() <= 1);
+        RC_ASSERT(acknowledging.empty() || *acknowledging.begin() >= highest[group]);
+        highest[group] = acknowledging.empty() ? highest[group] : *acknowledging.begin();
+        observed += acknowledging.size();
+    }
+
+    void checkWrites(const FakeSystem &system, int group)
+    {
+        const auto acknowledged = system.acknowledged.find(FakeSystem::groupKey(group));
+        const GroupTerm *term = system.termOf(group);
+        if (acknowledged == system.acknowledged.end() || term == nullptr) {
+            return;
+        }
+        for (const LogPoint &point : acknowledged->second) {
+            RC_ASSERT(term->starts.size() >= MostTermStarts || !term->isLost(point));
+        }
+        writes = std::max(writes, acknowledged->second.size());
+        terms = std::max(terms, term->starts.size());
+    }
+};
+
+} // namespace
+
+TEST_GROUP(ControlProperties) {};
+
+TEST(ControlProperties, UnderFaultsOneTermAcknowledgesNoAcknowledgedWriteIsLostAndSharesStayWithinTheConnections)
+{
+    Invariants invariants;
+    CHECK(rc::check([&invariants]() {
+        invariants.highest.clear();
+        runDisturbed(*rc::gen::arbitrary<std::uint32_t>(),
+            [&invariants](const FakeSystem &system) { invariants.check(system); });
+    }));
+    CHECK(invariants.observed > 10000);
+    CHECK(invariants.writes > 100);
+    CHECK(invariants.terms > 2);
+    CHECK_EQUAL(16, invariants.mostUsed); // Nothing is left unused either.
+}
