Encode messages compactly and bound what decoding allocates

Cause: cereal's portable binary archive writes each length in eight bytes, and its containers make room for as many elements as a length claims, so a few forged bytes could ask for gigabytes. A datagram of 1400 bytes has no room for such lengths either.

Change: an own pair of cereal archives writes integers in as many bytes as they need, refuses a length beyond the end of the message and grows vectors element by element. Bytes after the end of a message are refused. The messages of the membership protocol (member records, datagrams, whole tables) join the wire library.

--- a/include/daisyrelay/wire/codec.h
+++ b/include/daisyrelay/wire/codec.h
@@ -21,4 +21,18 @@
 /// \returns ErrorKind::BadRequest if \p bytes are not one whole command.
 Expected<ControlCommand> decodeControlCommand(std::string_view bytes);
 
+/// The largest datagram of the membership protocol with its authentication tag, in bytes.
+constexpr std::size_t LargestDatagram = 1400;
+
+std::string encodeGossipMessage(const GossipMessage &message);
+
+/// \returns ErrorKind::BadRequest if \p bytes are not one whole message.
+Expected<GossipMessage> decodeGossipMessage(std::string_view bytes);
+
+/// Returns the bytes that a value takes within a message.
+std::size_t encodedSize(const MemberRecord &record);
+std::size_t encodedSize(const BackendAnnouncement &announcement);
+std::size_t encodedSize(const BackendPulse &pulse);
+std::size_t encodedSize(const ServiceDigest &digest);
+
 } // namespace daisyrelay
--- a/include/daisyrelay/wire/peermessage.h
+++ b/include/daisyrelay/wire/peermessage.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/wire/backendannouncement.h"
 #include "daisyrelay/wire/controlmessages.h"
+#include "daisyrelay/wire/gossipmessage.h"
 #include "daisyrelay/wire/keymessages.h"
 #include "daisyrelay/wire/leasemessages.h"
 #include "daisyrelay/wire/raftmessages.h"
@@ -43,7 +44,7 @@
 };
 
 using PeerPayload = std::variant<LeaseRequest, LeaseGrant, RaftMessage, ConfigChangeRequest, ConfigChangeAnswer,
-    BackendAnnouncement, ForwardRequest, ForwardAnswer, KeyClaim, KeyVerdict, KeyCopyRequest, KeyCopy>;
+    BackendAnnouncement, ForwardRequest, ForwardAnswer, KeyClaim, KeyVerdict, KeyCopyRequest, KeyCopy, MembershipSync>;
 
 struct PeerMessage {
     VmId from;
--- a/lib/wire/archive.h
+++ b/lib/wire/archive.h
@@ -1,17 +1,10 @@
-// Encodes and decodes one cereal value. The input is bounded before it is read, so that a length inside forged bytes
-// can not make the process allocate without limit.
+// Encodes and decodes one cereal value.
 #pragma once
 
-#include "daisyrelay/base.h"
+#include "compactarchive.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/chrono.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/utility.hpp>
-#include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
+#include "daisyrelay/base.h"
 
-#include <sstream>
 #include <string_view>
 
 namespace daisyrelay {
@@ -19,12 +12,10 @@
 template <typename T>
 std::string encodeValue(const T &value)
 {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(value);
-    }
-    return std::move(stream).str();
+    std::string bytes;
+    CompactOutputArchive archive(bytes);
+    archive(value);
+    return bytes;
 }
 
 template <typename T>
@@ -34,10 +25,12 @@
         return tl::unexpected(Error { ErrorKind::BadRequest, "message too large" });
     }
     try {
-        std::istringstream stream { std::string(bytes) };
         T value;
-        cereal::PortableBinaryInputArchive archive(stream);
+        CompactInputArchive archive(bytes);
         archive(value);
+        if (!archive.atEnd()) {
+            return tl::unexpected(Error { ErrorKind::BadRequest, "malformed message: bytes after its end" });
+        }
         return value;
     } catch (const std::exception &exception) {
         return tl::unexpected(Error { ErrorKind::BadRequest, std::string("malformed message: ") + exception.what() });
