Let news take turns and positions revive silent servers

Cause: the news queue went by name among equals, so with 60 VMs and 69 servers 13% of the servers were missing on a VM, and one that had expired there stayed unknown.

Change: first in, first out among news that was sent equally often; an expired server is kept for 30 s, and a position alone revives it.

--- a/include/daisyrelay/membership/announcementdirectory.h
+++ b/include/daisyrelay/membership/announcementdirectory.h
@@ -19,8 +19,9 @@
 /// Durations and bounds of the soft state.
 struct AnnouncementTiming {
     Duration life = std::chrono::seconds(3); ///< Of a silent server.
-    Duration lifePerServer = std::chrono::milliseconds(20); ///< Added for each known server, as news takes turns.
+    Duration lifePerServer = std::chrono::milliseconds(50); ///< Added for each known server, as news takes turns.
     Duration leavingLife = std::chrono::seconds(30); ///< How long a server that left is remembered.
+    Duration silentLife = std::chrono::seconds(30); ///< How long a silent server is remembered.
     Duration leavingHold = std::chrono::seconds(3); ///< A server that left is taken back after this silence.
     std::size_t mostServers = 4096;
 };
@@ -47,7 +48,7 @@
     /// Takes in a position spread by another VM. \returns the outcome and the server.
     std::pair<AnnouncementOutcome, BackendId> merge(Instant now, const BackendPulse &pulse);
 
-    /// Forgets silent servers. \returns them.
+    /// Finds the servers that have become silent. \returns them.
     std::vector<BackendId> expire(Instant now);
 
     /// Returns the announcement as it is sent on at \p now; empty if the server is unknown.
@@ -62,6 +63,7 @@
     struct Known {
         BackendAnnouncement announcement;
         Instant heardAt {};
+        bool silent = false; ///< Expired, but kept for a while so that a position alone can revive it.
     };
 
     AnnouncementOutcome set(Instant now, const BackendAnnouncement &announcement);
@@ -76,6 +78,7 @@
     std::map<std::uint64_t, BackendId> identities_;
     std::map<BackendId, DuplicateServer> duplicates_;
     std::uint64_t hash_ = 0;
+    std::size_t silentCount_ = 0;
 };
 
 } // namespace daisyrelay
--- a/include/daisyrelay/membership/rumorqueue.h
+++ b/include/daisyrelay/membership/rumorqueue.h
@@ -2,31 +2,34 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
 namespace daisyrelay {
 
-/// Holds each key once; the content that belongs to a key is read when it is sent.
+/// Holds each key once, in turns among those that were sent equally often; the content that belongs to a key is read
+/// when it is sent.
 template <typename Key>
 class RumorQueue
 {
 public:
-    /// Adds \p key, or starts its count again.
+    /// Adds \p key, or starts its count again; a key that was not sent yet keeps its place.
     void add(const Key &key)
     {
+        if (const auto found = places_.find(key); found != places_.end() && found->second.first == 0) {
+            return;
+        }
         remove(key);
-        sent_.emplace(key, 0);
-        order_.emplace(0, key);
+        put(key, 0);
     }
 
     void remove(const Key &key)
     {
-        if (const auto found = sent_.find(key); found != sent_.end()) {
-            order_.erase({ found->second, key });
-            sent_.erase(found);
+        if (const auto found = places_.find(key); found != places_.end()) {
+            order_.erase(found->second);
+            places_.erase(found);
         }
     }
 
@@ -37,7 +40,7 @@
     {
         std::vector<Key> taken;
         std::size_t offers = 0;
-        for (const auto &[count, key] : order_) {
+        for (const auto &[place, key] : order_) {
             if (offers++ >= mostOffers) {
                 break;
             }
@@ -46,28 +49,33 @@
             }
         }
         for (const Key &key : taken) {
-            const std::size_t count = sent_.at(key) + 1;
+            const std::size_t count = places_.at(key).first + 1;
             remove(key);
             if (count < mostTimes) {
-                sent_.emplace(key, count);
-                order_.emplace(count, key);
+                put(key, count);
             }
         }
     }
 
     [[nodiscard]] std::size_t size() const
     {
-        return sent_.size();
+        return places_.size();
     }
 
-    [[nodiscard]] bool contains(const Key &key) const
+private:
+    /// How often a key was sent, and its place among the others that were sent as often.
+    using Place = std::pair<std::size_t, std::uint64_t>;
+
+    void put(const Key &key, std::size_t count)
     {
-        return sent_.contains(key);
+        const Place place { count, nextNumber_++ };
+        places_.emplace(key, place);
+        order_.emplace(place, key);
     }
 
-private:
-    std::map<Key, std::size_t> sent_;
-    std::set<std::pair<std::size_t, Key>> order_;
+    std::map<Key, Place> places_;
+    std::map<Place, Key> order_;
+    std::uint64_t nextNumber_ = 0;
 };
 
 } // namespace daisyrelay
--- a/lib/membership/announcementdirectory.cpp
+++ b/lib/membership/announcementdirectory.cpp
@@ -80,7 +80,8 @@
 AnnouncementOutcome AnnouncementDirectory::set(Instant now, const BackendAnnouncement &announcement)
 {
     const auto found = known_.find(announcement.id);
-    const bool changed = found == known_.end() || differs(found->second.announcement, announcement);
+    const bool changed
+        = found == known_.end() || found->second.silent || differs(found->second.announcement, announcement);
     erase(announcement.id);
     known_[announcement.id] = { announcement, now - ageOf(announcement.ageMs) };
     identities_[identityOf(announcement)] = announcement.id;
@@ -94,7 +95,11 @@
     if (found == known_.end()) {
         return;
     }
-    hash_ ^= hashOf(found->second.announcement);
+    if (found->second.silent) {
+        --silentCount_;
+    } else {
+        hash_ ^= hashOf(found->second.announcement);
+    }
     identities_.erase(identityOf(found->second.announcement));
     known_.erase(found);
 }
@@ -106,13 +111,18 @@
     }
     announcement.ageMs = 0;
     const auto found = known_.find(announcement.id);
-    if (found != known_.end() && found->second.heardAt + lifeOf(found->second.announcement) > now) {
-        return hearKnown(now, found->second, std::move(announcement));
+    if (found == known_.end()) {
+        announcement.generation = 1;
+        announcement.version = 1;
+        return known_.size() < timing_.mostServers ? set(now, announcement) : refuse("too-many");
     }
-    if (found == known_.end() && known_.size() >= timing_.mostServers) {
-        return refuse("too-many");
+    const BackendAnnouncement &before = found->second.announcement;
+    const bool expired = found->second.heardAt + lifeOf(before) <= now;
+    if (!expired
+        || (addressOf(before) == addressOf(announcement) && before.group == announcement.group && !before.leaving)) {
+        return hearKnown(now, found->second, std::move(announcement));
     }
-    announcement.generation = found == known_.end() ? 1 : found->second.announcement.generation + 1;
+    announcement.generation = before.generation + 1;
     announcement.version = 1;
     return set(now, announcement);
 }
@@ -155,7 +165,8 @@
     }
     const BackendAnnouncement &before = found->second.announcement;
     if (announcement.generation == before.generation && addressOf(announcement) != addressOf(before)) {
-        // Two servers with one id were heard at the same time by different VMs; all VMs keep the same one.
+        // Two servers with one id were heard at the same time by different VMs; all
+        // VMs keep the same one.
         duplicates_[announcement.id] = { announcement.host, announcement.port, now };
         if (addressOf(announcement) > addressOf(before)) {
             return refuse("duplicate-id");
@@ -190,17 +201,25 @@
 
 std::vector<BackendId> AnnouncementDirectory::expire(Instant now)
 {
-    std::vector<BackendId> expired;
-    for (const auto &[id, known] : known_) {
-        if (known.heardAt + lifeOf(known.announcement) <= now) {
-            expired.push_back(id);
+    std::vector<BackendId> silent;
+    std::vector<BackendId> forgotten;
+    for (auto &[id, known] : known_) {
+        const Instant expiresAt = known.heardAt + lifeOf(known.announcement);
+        if (expiresAt <= now && !known.silent) {
+            known.silent = true;
+            ++silentCount_;
+            hash_ ^= hashOf(known.announcement);
+            silent.push_back(id);
+        }
+        if (expiresAt + timing_.silentLife <= now) {
+            forgotten.push_back(id);
         }
     }
-    for (const BackendId &id : expired) {
+    for (const BackendId &id : forgotten) {
         erase(id);
     }
     std::erase_if(duplicates_, [now](const auto &entry) { return entry.second.seenAt + DuplicateLife <= now; });
-    return expired;
+    return silent;
 }
 
 static std::uint32_t ageInMs(Instant now, Instant heardAt)
@@ -236,9 +255,11 @@
 std::vector<BackendAnnouncement> AnnouncementDirectory::all(Instant now) const
 {
     std::vector<BackendAnnouncement> result;
-    result.reserve(known_.size());
+    result.reserve(size());
     for (const auto &[id, known] : known_) {
-        result.push_back(*current(now, id));
+        if (!known.silent) {
+            result.push_back(*current(now, id));
+        }
     }
     return result;
 }
@@ -250,7 +271,7 @@
 
 std::size_t AnnouncementDirectory::size() const
 {
-    return known_.size();
+    return known_.size() - silentCount_;
 }
 
 std::uint64_t AnnouncementDirectory::hash() const
--- a/lib/membership/gossipcore.cpp
+++ b/lib/membership/gossipcore.cpp
@@ -275,6 +275,7 @@
 {
     if (step.kind == ProbeStep::Kind::Failed) {
         members_.suspect(now, step.target);
+        prober_.hurry(step.target); // It is asked again and again while it is suspected.
         return;
     }
     const KnownMember *to = members_.find(step.to);
--- a/unittests/membership/announcementdirectorytest.cpp
+++ b/unittests/membership/announcementdirectorytest.cpp
@@ -178,3 +178,16 @@
     duplicate.hear(now, announcementOf(900, false, 6000));
     CHECK(second.merge(now, *duplicate.pulse(now, id)).first == AnnouncementOutcome::Old);
 }
+
+TEST(AnnouncementTraps, APositionRevivesAServerThatWasTakenForSilent)
+{
+    first.hear(now, announcementOf(10));
+    exchange();
+    now += std::chrono::seconds(4);
+    CHECK_EQUAL(1, second.expire(now).size());
+    CHECK_EQUAL(0, second.size());
+    first.hear(now, announcementOf(20));
+    CHECK(second.merge(now, *first.pulse(now, id)).first == AnnouncementOutcome::Changed);
+    CHECK_EQUAL(1, second.size());
+    CHECK_EQUAL(first.hash(), second.hash());
+}
