Drain connection by connection, and cut zones off for trials

Cause: a drained VM stopped listening and closed idle connections at the moment at which it had nothing to do, so a request on its way was reset. A second SIGTERM was not read. Partitions could not be brought about with real processes.

Change: readyz fails at once, requests are served for drain_notice, connections that wait to be accepted are taken before the socket closes, and each connection ends with its next answer. The VM then leaves the membership and exits.

--- a/include/daisyrelay/config/settings.h
+++ b/include/daisyrelay/config/settings.h
@@ -53,6 +53,8 @@
     std::chrono::milliseconds transactionIdle { 10000 };
     std::chrono::milliseconds drainLimit { 30000 };
     Policy policy = Policy::Default;
+    std::chrono::milliseconds drainNotice { 1000 }; ///< Still accepts for so long, until the balancer has noticed.
+    bool faultInjection = false; ///< For trials only: lets PUT /v1/faults cut zones off.
 };
 
 /// Reads and checks the settings in \p fileName.
--- a/include/daisyrelay/net/faultplan.h
+++ b/include/daisyrelay/net/faultplan.h
@@ -12,7 +12,7 @@
 namespace daisyrelay {
 
 /// The ways in which messages between two zones can be lost.
-struct Faults {
+struct NetworkFaults {
     std::set<ZoneId> cutZones; ///< Nothing passes between this VM and these zones.
     bool cutIn = true;
     bool cutOut = true;
@@ -23,7 +23,7 @@
 class FaultPlan
 {
 public:
-    void set(Faults faults);
+    void set(NetworkFaults faults);
 
     /// Remembers where a VM or a host belongs.
     void learn(const VmId &vm, const ZoneId &zone);
@@ -39,7 +39,7 @@
 
 private:
     mutable std::mutex mutex_; ///< Guards everything.
-    Faults faults_;
+    NetworkFaults faults_;
     std::map<VmId, ZoneId> zoneOfVm_;
     std::map<std::string, ZoneId> zoneOfHost_;
     std::minstd_rand random_;
--- a/include/daisyrelay/net/httpserver.h
+++ b/include/daisyrelay/net/httpserver.h
@@ -29,11 +29,14 @@
     /// \returns an error if the address can not be bound.
     Expected<void> listen(const Endpoint &address);
 
-    /// Closes the listening socket; open connections go on.
+    /// Closes the listening socket; connections that wait to be accepted are taken first, and open ones go on.
     void stopListening();
 
-    /// Closes the connections on which no request is under way, and each other one after its answer.
-    void closeIdle();
+    /// Closes each connection after its next answer, and says so in that answer.
+    void closeAfterAnswers();
+
+    /// Closes the connections on which nothing has happened for \p idleFor, and each other one after its answer.
+    void closeIdle(Duration idleFor);
 
     [[nodiscard]] std::size_t connections() const;
 
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -87,7 +87,7 @@
     Settings settings;
     if (!reader.checkMap(root, "",
             { "id", "zone", "region", "roles", "http", "peer", "data_folder", "secret", "seeds", "transaction_idle",
-                "drain_limit", "policy" })) {
+                "drain_limit", "policy", "drain_notice", "fault_injection" })) {
         return settings;
     }
     settings.id = VmId { reader.requireString(root, "id") };
@@ -108,6 +108,8 @@
     settings.transactionIdle = reader.readDuration(root, "transaction_idle", settings.transactionIdle);
     settings.policy = readPolicy(reader, root);
     settings.drainLimit = reader.readDuration(root, "drain_limit", settings.drainLimit);
+    settings.drainNotice = reader.readDuration(root, "drain_notice", settings.drainNotice);
+    settings.faultInjection = reader.readBool(root, "fault_injection", settings.faultInjection);
     return settings;
 }
 
--- a/lib/net/backendio.cpp
+++ b/lib/net/backendio.cpp
@@ -8,8 +8,8 @@
 static constexpr Duration LongestStatement = std::chrono::minutes(5);
 static constexpr std::chrono::milliseconds WatchWait(200);
 
-BackendIo::BackendIo(Duty &duty, Counters &counters, Hooks hooks)
-    : duty_(duty), counters_(counters), hooks_(std::move(hooks))
+BackendIo::BackendIo(Duty &duty, Counters &counters, FaultPlan &faults, Hooks hooks)
+    : duty_(duty), counters_(counters), faults_(faults), hooks_(std::move(hooks))
 {
 }
 
@@ -17,6 +17,11 @@
 {
     auto connection = std::make_shared<HttpConnection>(duty_.context());
     connections_[action.connection] = connection;
+    hosts_[action.connection] = action.address.host;
+    if (faults_.cutsOut(action.address.host) || faults_.cutsIn(action.address.host)) {
+        after(ConnectTimeout, [this, id = action.connection]() { drop(id); });
+        return;
+    }
     connection->connect(action.address, ConnectTimeout, [this, id = action.connection, connection](bool connected) {
         if (!connections_.contains(id)) {
             return;
@@ -46,8 +51,15 @@
     });
 }
 
+void BackendIo::after(Duration delay, std::function<void()> task)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(duty_.context(), delay);
+    timer->async_wait([timer, task = std::move(task)](const boost::system::error_code &) { task(); });
+}
+
 void BackendIo::drop(ConnectionId id)
 {
+    hosts_.erase(id);
     const auto found = connections_.find(id);
     if (found == connections_.end()) {
         return;
@@ -60,6 +72,7 @@
 
 void BackendIo::disconnect(const DisconnectBackend &action)
 {
+    hosts_.erase(action.connection);
     const auto found = connections_.find(action.connection);
     if (found == connections_.end()) {
         return;
@@ -79,12 +92,18 @@
         hooks_.onReply(lost);
         return;
     }
+    if (faults_.cutsOut(hosts_[action.connection])) {
+        return; // The network loses it, and nobody is told.
+    }
     HttpRequest request;
     request.method = "POST";
     request.target = "/statements";
     request.body = backendStatementBody(action.statement);
     found->second->request(request, LongestStatement,
         [this, lost, requestId = action.statement.requestId](std::optional<HttpResponse> response) {
+            if (const auto host = hosts_.find(lost.connection); host != hosts_.end() && faults_.cutsIn(host->second)) {
+                return;
+            }
             if (!response) {
                 hooks_.onReply(lost);
                 drop(lost.connection);
@@ -105,6 +124,10 @@
 
 void BackendIo::watch(const WatchReplica &action)
 {
+    if (faults_.cutsOut(action.address.host) || faults_.cutsIn(action.address.host)) {
+        after(ConnectTimeout, [this, backend = action.backend]() { hooks_.onReplicaPoint(backend, std::nullopt); });
+        return;
+    }
     std::shared_ptr<HttpConnection> &connection = watchers_[action.backend];
     if (connection && connection->isOpen()) {
         askReplica(action, connection);
--- a/lib/net/backendio.h
+++ b/lib/net/backendio.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/net/duty.h"
+#include "daisyrelay/net/faultplan.h"
 #include "daisyrelay/net/httpconnection.h"
 #include "daisyrelay/relay.h"
 
@@ -22,7 +23,7 @@
         std::function<void(BackendId, std::optional<LogPoint>)> onReplicaPoint;
     };
 
-    BackendIo(Duty &duty, Counters &counters, Hooks hooks);
+    BackendIo(Duty &duty, Counters &counters, FaultPlan &faults, Hooks hooks);
 
     void connect(const ConnectBackend &action);
     void disconnect(const DisconnectBackend &action);
@@ -32,12 +33,15 @@
 private:
     void verify(ConnectionId id, const std::shared_ptr<HttpConnection> &connection);
     void drop(ConnectionId id);
+    void after(Duration delay, std::function<void()> task);
     void askReplica(const WatchReplica &action, const std::shared_ptr<HttpConnection> &connection);
 
     Duty &duty_;
     Counters &counters_;
+    FaultPlan &faults_;
     Hooks hooks_;
     std::map<ConnectionId, std::shared_ptr<HttpConnection>> connections_;
+    std::map<ConnectionId, std::string> hosts_; ///< Where each connection leads.
     std::map<BackendId, std::shared_ptr<HttpConnection>> watchers_;
 };
 
--- a/lib/net/callerfront.cpp
+++ b/lib/net/callerfront.cpp
@@ -47,6 +47,8 @@
     } else if (request.method == "POST" && target == "/v1/drain") {
         hooks_.drain();
         reply({ 200, "application/json", R"({"draining":true})", "", 0 });
+    } else if (settings_.faultInjection && request.method == "PUT" && target == "/v1/faults") {
+        handleFaults(request, reply);
     } else if (request.method == "GET" && target == "/healthz") {
         reply({ 200, "text/plain", "ok\n", "", 0 });
     } else if (request.method == "GET" && target == "/readyz") {
@@ -208,6 +210,17 @@
     configJson_ = std::move(configJson);
 }
 
+void CallerFront::handleFaults(const HttpRequest &request, const HttpReply &reply)
+{
+    Expected<NetworkFaults> faults = parseNetworkFaults(request.body);
+    if (!faults) {
+        refuse(faults.error(), "", reply);
+        return;
+    }
+    hooks_.faults(std::move(*faults));
+    reply({ 200, "application/json", "{}", "", 0 });
+}
+
 void CallerFront::handleStatus(const HttpReply &reply)
 {
     const bool posted = hooks_.status([this, reply](json::object status) {
@@ -232,12 +245,22 @@
 void CallerFront::startDraining()
 {
     draining_ = true;
+    server_.closeAfterAnswers();
 }
 
 void CallerFront::stopListening()
 {
     server_.stopListening();
-    server_.closeIdle();
+}
+
+void CallerFront::closeIdle(Duration idleFor)
+{
+    server_.closeIdle(idleFor);
+}
+
+std::size_t CallerFront::connections() const
+{
+    return server_.connections();
 }
 
 std::size_t CallerFront::openCalls() const
--- a/lib/net/callerfront.h
+++ b/lib/net/callerfront.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/net/duty.h"
+#include "daisyrelay/net/faultplan.h"
 #include "daisyrelay/net/httpserver.h"
 #include "daisyrelay/relay.h"
 
@@ -23,6 +24,7 @@
         std::function<bool(ConfigChangeRequest)> configChange;
         std::function<bool(std::function<void(boost::json::object)>)> status; ///< Calls back on this thread.
         std::function<void()> drain;
+        std::function<void(NetworkFaults)> faults; ///< Used only where the settings allow it.
     };
 
     CallerFront(Duty &duty, const Settings &settings, Counters &counters, Hooks hooks);
@@ -33,12 +35,18 @@
     void onConfigInForce(std::uint64_t version, std::string configJson);
     void setReady(bool ready);
 
-    /// Turns not ready at once.
+    /// Turns not ready at once and ends each connection with its next answer.
     void startDraining();
 
-    /// Closes the listening socket and idle connections.
+    /// Closes the listening socket.
     void stopListening();
 
+    /// Closes the connections that have been idle for \p idleFor.
+    void closeIdle(Duration idleFor);
+
+    /// Returns the number of open connections.
+    [[nodiscard]] std::size_t connections() const;
+
     [[nodiscard]] std::size_t openCalls() const;
 
 private:
@@ -53,6 +61,7 @@
     void handleTransactions(const HttpRequest &request, HttpReply reply);
     void handleBackend(const HttpRequest &request, const HttpReply &reply);
     void handleConfig(const HttpRequest &request, const HttpReply &reply);
+    void handleFaults(const HttpRequest &request, const HttpReply &reply);
     void handleStatus(const HttpReply &reply);
     void submit(Expected<StatementRequest> parsed, const HttpRequest &request, HttpReply reply);
     void refuse(const Error &error, const std::string &token, const HttpReply &reply);
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -120,6 +120,11 @@
 void ControlRuntime::ask(
     const Endpoint &address, const HttpRequest &request, std::function<void(std::optional<HttpResponse>)> done)
 {
+    if (isCut_ && isCut_(address)) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(duty_.context(), DatabaseTimeout);
+        timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) { done(std::nullopt); });
+        return;
+    }
     auto connection = std::make_shared<HttpConnection>(duty_.context());
     connection->connect(address, DatabaseTimeout, [connection, request, done = std::move(done)](bool connected) {
         if (!connected) {
@@ -131,6 +136,11 @@
     });
 }
 
+void ControlRuntime::setCut(std::function<bool(const Endpoint &)> isCut)
+{
+    isCut_ = std::move(isCut);
+}
+
 std::string ControlRuntime::describe() const
 {
     switch (raft_.role()) {
--- a/lib/net/controlruntime.h
+++ b/lib/net/controlruntime.h
@@ -21,6 +21,9 @@
     void start();
     void onMessage(const PeerMessage &message);
 
+    /// Asks no database for which \p isCut holds.
+    void setCut(std::function<bool(const Endpoint &)> isCut);
+
     /// Returns this VM's part in the consensus as text for the status page.
     [[nodiscard]] std::string describe() const;
 
@@ -34,6 +37,7 @@
     Duty &duty_;
     VmId self_;
     Send send_;
+    std::function<bool(const Endpoint &)> isCut_;
     RaftCore raft_;
     ControlCore control_;
 };
--- a/lib/net/daemon.cpp
+++ b/lib/net/daemon.cpp
@@ -13,6 +13,7 @@
 #include <future>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <sodium.h>
 #include <spdlog/spdlog.h>
 
@@ -21,6 +22,8 @@
 namespace asio = boost::asio;
 
 static constexpr Duration DrainPoll = std::chrono::milliseconds(10);
+static constexpr Duration DrainIdle = std::chrono::seconds(2);
+static constexpr Duration LeaveTime = std::chrono::milliseconds(300);
 static constexpr int ExitStartFailed = 1;
 static constexpr int ExitRequestsCut = 3;
 
@@ -44,6 +47,9 @@
     void deliver(PeerMessage message);
     void drain();
     void pollDrained();
+    void checkDrained(bool idle);
+    void finish(int code);
+    void waitForSignal(asio::signal_set &signals);
 
     Settings settings_;
     Counters counters_;
@@ -61,8 +67,11 @@
     CallerFront front_;
     std::atomic<bool> draining_ { false };
     Instant drainDeadline_ {};
+    Instant noticeUntil_ {};
     std::promise<int> finished_;
+    bool noticed_ = false;
     bool drained_ = false;
+    std::unique_ptr<asio::steady_timer> leaveTimer_;
 };
 
 } // namespace
@@ -74,7 +83,7 @@
     , backendDuty_("backend", counters_)
     , peerDuty_("peer", counters_)
     , controlDuty_("control", counters_)
-    , backends_(backendDuty_, counters_, backendHooks())
+    , backends_(backendDuty_, counters_, faults_, backendHooks())
     , peers_(peerDuty_, settings_, counters_, faults_, peerHooks())
     , gossip_(peerDuty_, settings_, counters_, faults_, gossipHooks())
     , entry_(relayDuty_, settings_, counters_, entryHooks())
@@ -94,7 +103,11 @@
     hooks.caller = [this](CallerRequest request) {
         return relayDuty_.tryPost([this, request = std::move(request)]() { entry_.onCaller(request); });
     };
+    hooks.faults = [this](NetworkFaults faults) { faults_.set(std::move(faults)); };
     hooks.announced = [this](BackendAnnouncement announcement) {
+        if (faults_.cutsIn(announcement.host)) {
+            return true;
+        }
         return relayDuty_.tryPost(
             [this, announcement = std::move(announcement)]() { entry_.onAnnounced(announcement); });
     };
@@ -226,30 +239,62 @@
         return;
     }
     spdlog::info("draining");
+    peerDuty_.tryPost([this]() { gossip_.startDraining(); });
     callerDuty_.tryPost([this]() {
         front_.startDraining();
-        drainDeadline_ = Clock::now() + settings_.drainLimit;
+        noticeUntil_ = Clock::now() + settings_.drainNotice;
+        drainDeadline_ = noticeUntil_ + settings_.drainLimit;
         callerDuty_.every(DrainPoll, [this]() { pollDrained(); });
     });
-    relayDuty_.tryPost([this]() { entry_.drain(); });
 }
 
+/// Goes on serving until the balancer has noticed, then finishes what is open.
 void Daemon::pollDrained()
 {
-    if (drained_) {
+    if (drained_ || Clock::now() < noticeUntil_) {
         return;
     }
+    if (!std::exchange(noticed_, true)) {
+        front_.stopListening();
+        relayDuty_.tryPost([this]() { entry_.drain(); });
+    }
     relayDuty_.tryPost([this]() {
         const bool idle = entry_.idle();
-        callerDuty_.tryPost([this, idle]() {
-            const bool done = idle && front_.openCalls() == 0;
-            if (drained_ || (!done && Clock::now() < drainDeadline_)) {
-                return;
-            }
-            drained_ = true;
-            front_.stopListening();
-            finished_.set_value(done ? 0 : ExitRequestsCut);
-        });
+        callerDuty_.tryPost([this, idle]() { checkDrained(idle); });
+    });
+}
+
+void Daemon::checkDrained(bool idle)
+{
+    if (drained_) {
+        return;
+    }
+    front_.closeIdle(DrainIdle);
+    const bool done = idle && front_.openCalls() == 0 && front_.connections() == 0;
+    if (!done && Clock::now() < drainDeadline_) {
+        return;
+    }
+    drained_ = true;
+    const bool cut = !idle || front_.openCalls() > 0;
+    finish(cut ? ExitRequestsCut : 0);
+}
+
+/// Leaves, and gives the last messages to other VMs time to be sent.
+void Daemon::finish(int code)
+{
+    peerDuty_.tryPost([this]() { gossip_.leave(); });
+    leaveTimer_ = std::make_unique<asio::steady_timer>(callerDuty_.context(), LeaveTime);
+    leaveTimer_->async_wait([this, code](const boost::system::error_code &) { finished_.set_value(code); });
+}
+
+/// Each signal asks for the same drain; a second one must not end the process.
+void Daemon::waitForSignal(asio::signal_set &signals)
+{
+    signals.async_wait([this, &signals](const boost::system::error_code &error, int) {
+        if (!error) {
+            drain();
+            waitForSignal(signals);
+        }
     });
 }
 
@@ -264,14 +309,14 @@
     if (control_) {
         control_->start();
     }
+    if (control_) {
+        control_->setCut(
+            [this](const Endpoint &address) { return faults_.cutsOut(address.host) || faults_.cutsIn(address.host); });
+    }
     entry_.start();
     gossip_.start();
     asio::signal_set signals(callerDuty_.context(), SIGTERM, SIGINT);
-    signals.async_wait([this](const boost::system::error_code &error, int) {
-        if (!error) {
-            drain();
-        }
-    });
+    waitForSignal(signals);
     const std::array duties { &callerDuty_, &relayDuty_, &backendDuty_, &peerDuty_, &controlDuty_ };
     for (Duty *duty : duties) {
         duty->start();
--- a/lib/net/faultplan.cpp
+++ b/lib/net/faultplan.cpp
@@ -11,7 +11,7 @@
     return zone != zones.end() && cut.contains(zone->second);
 }
 
-void FaultPlan::set(Faults faults)
+void FaultPlan::set(NetworkFaults faults)
 {
     const std::lock_guard lock(mutex_);
     faults_ = std::move(faults);
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -68,9 +68,10 @@
         timer->async_wait([self = shared_from_this(), timer](const ErrorCode &) { self->read(); });
     }
 
-    void closeIfIdle()
+    void closeIfIdle(Instant idleSince)
     {
-        if (!busy_) {
+        const bool reading = buffer_.size() > 0 || (parser_ && parser_->got_some());
+        if (!busy_ && !reading && idleSince_ <= idleSince) {
             close();
         }
     }
@@ -144,6 +145,7 @@
     {
         message_.reset();
         busy_ = false;
+        idleSince_ = Clock::now();
         if (error || !keepAlive_ || isClosing_()) {
             close();
             gone();
@@ -172,8 +174,23 @@
     std::unique_ptr<http::response<http::string_body>> message_;
     bool keepAlive_ = true;
     bool busy_ = false;
+    Instant idleSince_ = Clock::now();
 };
 
+template <typename ServerState>
+void startSession(const std::shared_ptr<ServerState> &server, tcp::socket socket)
+{
+    if (server->sessions.size() >= server->options.mostConnections) {
+        return;
+    }
+    ErrorCode ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const std::uint64_t id = server->nextConnection++;
+    auto session = std::make_shared<HttpSession>(std::move(socket), id, server);
+    server->sessions.emplace(id, session);
+    session->start(server->options.acceptDelay);
+}
+
 template <typename ServerState>
 void acceptNext(const std::shared_ptr<ServerState> &server)
 {
@@ -181,13 +198,8 @@
         if (error == asio::error::operation_aborted || !server->acceptor.is_open()) {
             return;
         }
-        if (!error && server->sessions.size() < server->options.mostConnections) {
-            ErrorCode ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            const std::uint64_t id = server->nextConnection++;
-            auto session = std::make_shared<HttpSession>(std::move(socket), id, server);
-            server->sessions.emplace(id, session);
-            session->start(server->options.acceptDelay);
+        if (!error) {
+            startSession(server, std::move(socket));
         }
         acceptNext(server);
     });
@@ -223,17 +235,32 @@
 
 void HttpServer::stopListening()
 {
-    ErrorCode ignored;
-    state_->acceptor.close(ignored);
+    ErrorCode error;
+    state_->acceptor.non_blocking(true, error);
+    while (!error && state_->acceptor.is_open()) {
+        // Closing would reset the connections that wait, which can carry requests already.
+        tcp::socket socket(state_->context);
+        state_->acceptor.accept(socket, error);
+        if (!error) {
+            startSession(state_, std::move(socket));
+        }
+    }
+    state_->acceptor.close(error);
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    state_->closing = true;
 }
 
-void HttpServer::closeIdle()
+void HttpServer::closeIdle(Duration idleFor)
 {
     state_->closing = true;
+    const Instant idleSince = Clock::now() - idleFor;
     const auto sessions = state_->sessions;
     for (const auto &[id, weak] : sessions) {
         if (const std::shared_ptr<HttpSession> session = weak.lock(); session) {
-            session->closeIfIdle();
+            session->closeIfIdle(idleSince);
         }
     }
 }
--- a/lib/net/protocol.cpp
+++ b/lib/net/protocol.cpp
@@ -2,6 +2,8 @@
 
 #include "jsonfields.h"
 
+#include <algorithm>
+
 namespace daisyrelay {
 
 namespace json = boost::json;
@@ -93,6 +95,32 @@
     return fields.finish(std::move(result));
 }
 
+Expected<NetworkFaults> parseNetworkFaults(const std::string &body)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    const json::object *object = value.if_object();
+    if (error || object == nullptr) {
+        return tl::unexpected(Error { ErrorKind::BadRequest, "the body must be a JSON object" });
+    }
+    NetworkFaults faults;
+    for (const auto &field : *object) {
+        if (field.key() == "cut_zones" && field.value().is_array()) {
+            for (const json::value &zone : field.value().as_array()) {
+                faults.cutZones.insert(ZoneId { zone.is_string() ? std::string(zone.as_string()) : "" });
+            }
+        } else if (field.key() == "one_way" && field.value().is_string()) {
+            faults.cutIn = field.value().as_string() != "out";
+            faults.cutOut = field.value().as_string() != "in";
+        } else if (field.key() == "loss_percent" && field.value().is_int64()) {
+            faults.lossPercent = static_cast<unsigned>(std::clamp<std::int64_t>(field.value().as_int64(), 0, 100));
+        } else {
+            return tl::unexpected(Error { ErrorKind::BadRequest, "unknown fault " + std::string(field.key()) });
+        }
+    }
+    return faults;
+}
+
 static json::value parsedOrNull(const std::string &text)
 {
     boost::system::error_code error;
--- a/lib/net/protocol.h
+++ b/lib/net/protocol.h
@@ -1,6 +1,7 @@
 // The JSON bodies of the outside interfaces: callers, backend servers and databases.
 #pragma once
 
+#include "daisyrelay/net/faultplan.h"
 #include "daisyrelay/net/httptypes.h"
 #include "daisyrelay/relay.h"
 
@@ -16,6 +17,9 @@
 Expected<StatementRequest> parseTransactionStatement(const std::string &body);
 
 /// Parses the body of PUT /v1/backends/<id>.
+/// Parses what PUT /v1/faults asks for.
+Expected<NetworkFaults> parseNetworkFaults(const std::string &body);
+
 Expected<BackendAnnouncement> parseAnnouncement(const std::string &id, const std::string &body);
 
 /// Formats a successful answer for the caller.
--- a/lib/standin/faults.h
+++ b/lib/standin/faults.h
@@ -3,6 +3,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
+#include <string>
 
 namespace daisyrelay {
 
@@ -12,6 +14,7 @@
     std::uint32_t silenceNext = 0; ///< This many statements are never answered, nor is anything on their connection.
     bool stalled = false; ///< Statements and questions are never answered.
     bool cut = false; ///< Neither announces nor replicates, and answers nobody.
+    std::set<std::string> cutHosts; ///< Nothing is replicated from databases at these addresses.
     bool leaving = false; ///< Announces that it leaves.
 };
 
--- a/lib/standin/replicator.cpp
+++ b/lib/standin/replicator.cpp
@@ -29,7 +29,7 @@
 
 void Replicator::pull()
 {
-    if (database_.isPrimary() || primary_.port == 0 || faults_.cut) {
+    if (database_.isPrimary() || primary_.port == 0 || faults_.cut || faults_.cutHosts.contains(primary_.host)) {
         callAfter(context_, PullRetry, [this]() { pull(); });
         return;
     }
--- a/lib/standin/server.cpp
+++ b/lib/standin/server.cpp
@@ -308,6 +308,12 @@
         faults_.silenceNext = static_cast<std::uint32_t>(numberOf(body, "silence_next"));
         faults_.stalled = flagOf(body, "stalled");
         faults_.cut = flagOf(body, "cut");
+        faults_.cutHosts.clear();
+        if (const json::value *hosts = body.if_contains("cut_hosts"); hosts != nullptr && hosts->is_array()) {
+            for (const json::value &host : hosts->as_array()) {
+                faults_.cutHosts.insert(host.is_string() ? std::string(host.as_string()) : "");
+            }
+        }
         faults_.leaving = flagOf(body, "leaving");
     }
     std::uint64_t repeated = 0;
--- /dev/null
+++ b/tools/daisyrelay-scale/main.cpp
@@ -0,0 +1,283 @@
+// Runs many membership cores in one process, without sockets, and prints what one node costs at that size. It gives the
+// slopes beyond the number of real processes that one machine can run.
+#include "daisyrelay/membership.h"
+
+#include <algorithm>
+#include <ctime>
+#include <deque>
+#include <iostream>
+#include <malloc.h>
+#include <random>
+
+#include <gflags/gflags.h>
+
+DEFINE_uint32(nodes, 7, "VMs");
+DEFINE_uint32(databases, 9, "Backend servers");
+DEFINE_uint32(regions, 1, "Regions; the VMs and backend servers are spread over them");
+DEFINE_uint32(seconds, 20, "Length of the run, on the clock of the cores");
+DEFINE_uint32(loss, 0, "Datagrams lost, in percent");
+DEFINE_uint64(seed, 1, "Seed of the choices");
+
+using namespace daisyrelay;
+
+namespace {
+
+constexpr unsigned ZonesPerRegion = 3;
+constexpr unsigned ControlVms = 5;
+constexpr Duration Step = std::chrono::milliseconds(50);
+constexpr Duration AnnounceInterval = std::chrono::milliseconds(250);
+constexpr std::size_t UdpHeaderBytes = 28;
+constexpr std::size_t TagBytes = 16;
+
+class ScaleRun
+{
+public:
+    ScaleRun();
+
+    void run(Duration time);
+
+    /// Stops one VM. \returns the times until half and all of the others hold it for dead, in seconds.
+    std::pair<double, double> crashOne();
+
+    Counters counters;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t syncs = 0;
+
+    [[nodiscard]] std::uint64_t mostSent() const;
+    void resetTraffic();
+    [[nodiscard]] double knownShare() const;
+
+private:
+    MemberRecord record(unsigned number) const;
+    BackendAnnouncement announcement(unsigned number) const;
+    void announceAll();
+    void flush(unsigned number);
+    void deliver();
+
+    struct Datagram {
+        unsigned to = 0;
+        GossipMessage message;
+    };
+
+    std::mt19937_64 random_ { FLAGS_seed };
+    Instant now_ { std::chrono::hours(1) };
+    Instant nextAnnounceAt_ { now_ };
+    std::vector<std::unique_ptr<GossipCore>> cores_;
+    std::vector<std::uint64_t> sent_;
+    std::deque<Datagram> datagrams_;
+    std::deque<std::pair<std::pair<unsigned, unsigned>, MembershipSync>> tables_;
+    Position position_ = 1;
+};
+
+} // namespace
+
+MemberRecord ScaleRun::record(unsigned number) const
+{
+    const unsigned region = number % FLAGS_regions;
+    MemberRecord record;
+    record.id = VmId { "vm" + std::to_string(number) };
+    record.region = "region-" + std::to_string(region);
+    record.zone
+        = ZoneId { "zone-" + std::to_string(region) + "-" + std::to_string(number / FLAGS_regions % ZonesPerRegion) };
+    record.entry = true;
+    record.control = number < std::min(ControlVms, FLAGS_nodes / 2);
+    record.httpHost = record.peerHost = "10.120." + std::to_string(number / 250) + "." + std::to_string(number % 250);
+    record.httpPort = 7000;
+    record.peerPort = static_cast<std::uint16_t>(number + 1);
+    record.incarnation = 1764800000000;
+    return record;
+}
+
+BackendAnnouncement ScaleRun::announcement(unsigned number) const
+{
+    const unsigned region = number % FLAGS_regions;
+    const unsigned inRegion = number / FLAGS_regions;
+    BackendAnnouncement result;
+    result.id = BackendId { "database-" + std::to_string(number) };
+    result.group
+        = { ServiceId { "service-" + std::to_string(region) }, GroupId { "g" + std::to_string(inRegion / 3) } };
+    result.zone = ZoneId { "zone-" + std::to_string(region) + "-" + std::to_string(inRegion % ZonesPerRegion) };
+    result.host = "10.130." + std::to_string(number / 250) + "." + std::to_string(number % 250);
+    result.port = 5432;
+    result.connections = 16;
+    result.slots = 2;
+    result.role = inRegion % 3 == 0 ? BackendRole::Primary : BackendRole::Replica;
+    result.point = { 7, position_ };
+    return result;
+}
+
+ScaleRun::ScaleRun() : sent_(FLAGS_nodes)
+{
+    MembershipSync all;
+    for (unsigned number = 0; number < FLAGS_nodes; ++number) {
+        all.members.push_back(record(number));
+        GossipOptions options;
+        options.self = record(number);
+        options.boot = 1;
+        options.randomSeed = random_();
+        cores_.push_back(std::make_unique<GossipCore>(options, counters));
+    }
+    for (unsigned number = 0; number < FLAGS_nodes; ++number) {
+        cores_[number]->receiveSync(now_, VmId { "vm0" }, all);
+        (void)cores_[number]->takeActions();
+    }
+}
+
+void ScaleRun::announceAll()
+{
+    nextAnnounceAt_ = now_ + AnnounceInterval;
+    position_ += 10;
+    for (unsigned number = 0; number < FLAGS_databases; ++number) {
+        const unsigned region = number % FLAGS_regions;
+        const unsigned perRegion = FLAGS_nodes / FLAGS_regions;
+        const unsigned vm = region + FLAGS_regions * static_cast<unsigned>(random_() % perRegion);
+        if (cores_[vm]) {
+            cores_[vm]->hear(now_, announcement(number));
+        }
+    }
+}
+
+void ScaleRun::flush(unsigned number)
+{
+    for (GossipAction &action : cores_[number]->takeActions()) {
+        if (auto *send = std::get_if<SendGossip>(&action); send != nullptr) {
+            const std::uint64_t bytes = encodeGossipMessage(send->message).size() + TagBytes + UdpHeaderBytes;
+            sentBytes += bytes;
+            sent_[number] += bytes;
+            if (FLAGS_loss == 0 || random_() % 100 >= FLAGS_loss) {
+                datagrams_.push_back({ send->port - 1U, std::move(send->message) });
+            }
+        } else if (auto *sync = std::get_if<SendSync>(&action); sync != nullptr) {
+            ++syncs;
+            const auto to = static_cast<unsigned>(std::stoul(sync->to.value.substr(2)));
+            const std::string bytes = encodePeerMessage({ sync->to, sync->sync });
+            sentBytes += bytes.size();
+            sent_[number] += bytes.size();
+            tables_.push_back({ { number, to }, std::move(sync->sync) });
+        }
+    }
+}
+
+void ScaleRun::deliver()
+{
+    while (!datagrams_.empty() || !tables_.empty()) {
+        if (!datagrams_.empty()) {
+            const Datagram datagram = std::move(datagrams_.front());
+            datagrams_.pop_front();
+            if (cores_[datagram.to]) {
+                cores_[datagram.to]->receive(now_, datagram.message);
+                flush(datagram.to);
+            }
+            continue;
+        }
+        const auto [ends, sync] = std::move(tables_.front());
+        tables_.pop_front();
+        if (cores_[ends.second]) {
+            cores_[ends.second]->receiveSync(now_, VmId { "vm" + std::to_string(ends.first) }, sync);
+            flush(ends.second);
+        }
+    }
+}
+
+void ScaleRun::run(Duration time)
+{
+    for (const Instant end = now_ + time; now_ < end; now_ += Step) {
+        if (nextAnnounceAt_ <= now_) {
+            announceAll();
+        }
+        for (unsigned number = 0; number < FLAGS_nodes; ++number) {
+            if (cores_[number]) {
+                cores_[number]->tick(now_);
+                flush(number);
+            }
+        }
+        deliver();
+    }
+}
+
+std::pair<double, double> ScaleRun::crashOne()
+{
+    const unsigned victim = FLAGS_nodes - 1;
+    const VmId id = record(victim).id;
+    cores_[victim].reset();
+    const Instant start = now_;
+    double half = -1;
+    for (int step = 0; step < 1200; ++step) {
+        run(Step);
+        unsigned dead = 0;
+        for (const std::unique_ptr<GossipCore> &core : cores_) {
+            const KnownMember *known = core ? core->members().find(id) : nullptr;
+            dead += known != nullptr && known->record.state == MemberState::Dead ? 1 : 0;
+        }
+        const double elapsed = std::chrono::duration<double>(now_ - start).count();
+        if (half < 0 && dead * 2 >= FLAGS_nodes - 1) {
+            half = elapsed;
+        }
+        if (dead == FLAGS_nodes - 1) {
+            return { half, elapsed };
+        }
+    }
+    return { half, -1 };
+}
+
+std::uint64_t ScaleRun::mostSent() const
+{
+    return *std::max_element(sent_.begin(), sent_.end());
+}
+
+void ScaleRun::resetTraffic()
+{
+    sentBytes = 0;
+    syncs = 0;
+    std::fill(sent_.begin(), sent_.end(), 0);
+}
+
+double ScaleRun::knownShare() const
+{
+    double known = 0;
+    double expected = 0;
+    for (const std::unique_ptr<GossipCore> &core : cores_) {
+        if (!core || core->members().self().control) {
+            continue;
+        }
+        known += static_cast<double>(core->announcements().size());
+        expected += static_cast<double>(FLAGS_databases) / FLAGS_regions;
+    }
+    return known / expected;
+}
+
+static double cpuSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("daisyrelay-scale --nodes N --databases N --regions N [--seconds N] [--loss PERCENT]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_nodes < 2 || FLAGS_regions < 1 || FLAGS_regions > FLAGS_nodes || FLAGS_nodes > 2000) {
+        std::cerr << "daisyrelay-scale: 2 to 2000 nodes, and not more regions than nodes\n";
+        return 2;
+    }
+    const std::size_t memoryBefore = mallinfo2().uordblks;
+    ScaleRun run;
+    run.run(std::chrono::seconds(5)); // The backend servers become known.
+    run.resetTraffic();
+    const double cpuBefore = cpuSeconds();
+    run.run(std::chrono::seconds(FLAGS_seconds));
+    const double perNodeSecond = 1.0 / FLAGS_nodes / FLAGS_seconds;
+    const double cpu = (cpuSeconds() - cpuBefore) * perNodeSecond;
+    std::cout << "nodes " << FLAGS_nodes << " databases " << FLAGS_databases << " regions " << FLAGS_regions << " loss "
+              << FLAGS_loss << "% seconds " << FLAGS_seconds << "\n"
+              << "sent per node        " << static_cast<double>(run.sentBytes) * perNodeSecond / 1000 << " KB/s, most "
+              << static_cast<double>(run.mostSent()) / FLAGS_seconds / 1000 << " KB/s, tables " << run.syncs << "\n"
+              << "cpu per node         " << cpu * 100 << " % of a core, this program's own work included\n"
+              << "state per node       " << static_cast<double>(mallinfo2().uordblks - memoryBefore) / FLAGS_nodes / 1e6
+              << " MB\n"
+              << "servers known        " << run.knownShare() * 100 << " % of those of the own region\n"
+              << "suspected, died      " << run.counters.value("membership.suspected") << ", "
+              << run.counters.value("membership.died") << "\n";
+    const auto [half, all] = run.crashOne();
+    std::cout << "a crash is known to  half of the VMs after " << half << " s, to all after " << all << " s\n";
+    return 0;
+}
