--- a/lib/net/backendio.cpp
+++ b/lib/net/backendio.cpp
@@ -10,15 +10,19 @@
 static constexpr Duration ProbeTimeout = std::chrono::milliseconds(300);
 static constexpr std::chrono::milliseconds WatchWait(200);
 
-BackendIo::BackendIo(Duty &duty, Counters &counters, Hooks hooks)
-    : duty_(duty), counters_(counters), hooks_(std::move(hooks))
+BackendIo::BackendIo(Duty &duty, Counters &counters, FaultPlan &faults, Hooks hooks)
+    : duty_(duty), counters_(counters), faults_(faults), hooks_(std::move(hooks))
 {
 }
 
 void BackendIo::connect(const ConnectBackend &action)
 {
     auto connection = std::make_shared<HttpConnection>(duty_.context());
-    connections_[action.connection] = { connection, Clock::now() };
+    connections_[action.connection] = { connection, Clock::now(), action.address.host };
+    if (faults_.cutsOut(action.address.host) || faults_.cutsIn(action.address.host)) {
+        after(ConnectTimeout, [this, id = action.connection]() { drop(id); });
+        return;
+    }
     connection->connect(action.address, ConnectTimeout, [this, id = action.connection, connection](bool connected) {
         if (!connections_.contains(id)) {
             return;
@@ -49,6 +53,12 @@
     });
 }
 
+void BackendIo::after(Duration delay, std::function<void()> task)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(duty_.context(), delay);
+    timer->async_wait([timer, task = std::move(task)](const boost::system::error_code &) { task(); });
+}
+
 void BackendIo::drop(ConnectionId id)
 {
     const auto found = connections_.find(id);
@@ -93,6 +103,9 @@
         hooks_.onReply(replyTo(action, BackendOutcome::Lost));
         return;
     }
+    if (faults_.cutsOut(found->second.host)) {
+        return; // The network loses it, and nobody is told.
+    }
     const std::shared_ptr<HttpConnection> connection = found->second.http;
     const Instant now = Clock::now();
     const bool trusted = now - std::exchange(found->second.lastUse, now) < trustedIdle_;
@@ -139,6 +152,10 @@
 void BackendIo::onAnswer(
     const BackendReply &lost, const std::string &requestId, const std::optional<HttpResponse> &response)
 {
+    const auto used = connections_.find(lost.connection);
+    if (used != connections_.end() && faults_.cutsIn(used->second.host)) {
+        return;
+    }
     if (!response) {
         hooks_.onReply(lost);
         drop(lost.connection);
@@ -151,8 +168,8 @@
         drop(lost.connection);
         return;
     }
-    if (const auto found = connections_.find(lost.connection); found != connections_.end()) {
-        found->second.lastUse = Clock::now();
+    if (used != connections_.end()) {
+        used->second.lastUse = Clock::now();
     }
     reply->connection = lost.connection;
     reply->work = lost.work;
@@ -161,6 +178,10 @@
 
 void BackendIo::watch(const WatchReplica &action)
 {
+    if (faults_.cutsOut(action.address.host) || faults_.cutsIn(action.address.host)) {
+        after(ConnectTimeout, [this, backend = action.backend]() { hooks_.onReplicaPoint(backend, std::nullopt); });
+        return;
+    }
     std::shared_ptr<HttpConnection> &connection = watchers_[action.backend];
     if (connection && connection->isOpen()) {
         askReplica(action, connection);
--- a/lib/net/backendio.h
+++ b/lib/net/backendio.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/net/duty.h"
+#include "daisyrelay/net/faultplan.h"
 #include "daisyrelay/net/httpconnection.h"
 #include "daisyrelay/relay.h"
 
@@ -22,7 +23,7 @@
         std::function<void(BackendId, std::optional<LogPoint>)> onReplicaPoint;
     };
 
-    BackendIo(Duty &duty, Counters &counters, Hooks hooks);
+    BackendIo(Duty &duty, Counters &counters, FaultPlan &faults, Hooks hooks);
 
     void connect(const ConnectBackend &action);
     void disconnect(const DisconnectBackend &action);
@@ -36,6 +37,7 @@
     struct BackendConnection {
         std::shared_ptr<HttpConnection> http;
         Instant lastUse;
+        std::string host; ///< Where the connection leads.
     };
 
     void verify(ConnectionId id, const std::shared_ptr<HttpConnection> &connection);
@@ -43,10 +45,12 @@
     void probe(const SendStatement &action, const std::shared_ptr<HttpConnection> &connection);
     void transmit(const SendStatement &action, const std::shared_ptr<HttpConnection> &connection);
     void onAnswer(const BackendReply &lost, const std::string &requestId, const std::optional<HttpResponse> &response);
+    void after(Duration delay, std::function<void()> task);
     void askReplica(const WatchReplica &action, const std::shared_ptr<HttpConnection> &connection);
 
     Duty &duty_;
     Counters &counters_;
+    FaultPlan &faults_;
     Hooks hooks_;
     Duration trustedIdle_ = std::chrono::seconds(5);
     std::map<ConnectionId, BackendConnection> connections_;
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -139,6 +139,11 @@
 void ControlRuntime::ask(
     const Endpoint &address, const HttpRequest &request, std::function<void(const DatabaseAnswer &)> done)
 {
+    if (isCut_ && isCut_(address)) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(duty_.context(), DatabaseTimeout);
+        timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) { done(std::nullopt); });
+        return;
+    }
     auto connection = std::make_shared<HttpConnection>(duty_.context());
     const Instant askedAt = Clock::now();
     connection->connect(
@@ -154,6 +159,11 @@
         });
 }
 
+void ControlRuntime::setCut(std::function<bool(const Endpoint &)> isCut)
+{
+    isCut_ = std::move(isCut);
+}
+
 std::string ControlRuntime::describe() const
 {
     switch (raft_->core().role()) {
--- a/lib/net/controlruntime.h
+++ b/lib/net/controlruntime.h
@@ -25,6 +25,9 @@
     void start();
     void onMessage(const PeerMessage &message);
 
+    /// Asks no database for which \p isCut holds.
+    void setCut(std::function<bool(const Endpoint &)> isCut);
+
     /// Returns this VM's part in the consensus as text for the status page.
     [[nodiscard]] std::string describe() const;
 
@@ -47,6 +50,7 @@
     Duty &duty_;
     VmId self_;
     Send send_;
+    std::function<bool(const Endpoint &)> isCut_;
     ControlCore control_;
     std::unique_ptr<RaftDriver> raft_;
     bool flushPending_ = false;
--- a/lib/net/daemon.cpp
+++ b/lib/net/daemon.cpp
@@ -4,6 +4,7 @@
 #include "callerfront.h"
 #include "controlruntime.h"
 #include "entryruntime.h"
+#include "gossipruntime.h"
 #include "peernetwork.h"
 
 #include <array>
@@ -12,6 +13,7 @@
 #include <future>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <sodium.h>
 #include <spdlog/spdlog.h>
 
@@ -20,6 +22,8 @@
 namespace asio = boost::asio;
 
 static constexpr Duration DrainPoll = std::chrono::milliseconds(10);
+static constexpr Duration DrainIdle = std::chrono::seconds(2);
+static constexpr Duration LeaveTime = std::chrono::milliseconds(300);
 static constexpr int ExitStartFailed = 1;
 static constexpr int ExitRequestsCut = 3;
 
@@ -38,10 +42,14 @@
     EntryRuntime::Hooks entryHooks();
     BackendIo::Hooks backendHooks();
     PeerNetwork::Hooks peerHooks();
+    GossipRuntime::Hooks gossipHooks();
     void performBackend(RelayAction action);
     void deliver(PeerMessage message);
     void drain();
     void pollDrained();
+    void checkDrained(bool idle);
+    void finish(int code);
+    void waitForSignal(asio::signal_set &signals);
 
     Settings settings_;
     Counters counters_;
@@ -50,15 +58,20 @@
     Duty backendDuty_;
     Duty peerDuty_;
     Duty controlDuty_;
+    FaultPlan faults_;
     BackendIo backends_;
     PeerNetwork peers_;
+    GossipRuntime gossip_;
     EntryRuntime entry_;
     std::unique_ptr<ControlRuntime> control_;
     CallerFront front_;
     std::atomic<bool> draining_ { false };
     Instant drainDeadline_ {};
+    Instant noticeUntil_ {};
     std::promise<int> finished_;
+    bool noticed_ = false;
     bool drained_ = false;
+    std::unique_ptr<asio::steady_timer> leaveTimer_;
 };
 
 } // namespace
@@ -70,8 +83,9 @@
     , backendDuty_("backend", counters_)
     , peerDuty_("peer", counters_)
     , controlDuty_("control", counters_)
-    , backends_(backendDuty_, counters_, backendHooks())
-    , peers_(peerDuty_, settings_, counters_, peerHooks())
+    , backends_(backendDuty_, counters_, faults_, backendHooks())
+    , peers_(peerDuty_, settings_, counters_, faults_, peerHooks())
+    , gossip_(peerDuty_, settings_, counters_, faults_, gossipHooks())
     , entry_(relayDuty_, settings_, counters_, entryHooks())
     , front_(callerDuty_, settings_, counters_, frontHooks())
 {
@@ -89,7 +103,11 @@
     hooks.caller = [this](CallerRequest request) {
         return relayDuty_.tryPost([this, request = std::move(request)]() { entry_.onCaller(request); });
     };
+    hooks.faults = [this](NetworkFaults faults) { faults_.set(std::move(faults)); };
     hooks.announced = [this](BackendAnnouncement announcement) {
+        if (faults_.cutsIn(announcement.host)) {
+            return true;
+        }
         return relayDuty_.tryPost(
             [this, announcement = std::move(announcement)]() { entry_.onAnnounced(announcement); });
     };
@@ -98,7 +116,10 @@
     };
     hooks.status = [this](std::function<void(boost::json::object)> done) {
         return relayDuty_.tryPost([this, done = std::move(done)]() {
-            callerDuty_.tryPost([done, status = entry_.status()]() { done(status); });
+            peerDuty_.tryPost([this, done, status = entry_.status()]() mutable {
+                gossip_.describe(status);
+                callerDuty_.tryPost([done, status = std::move(status)]() { done(status); });
+            });
         });
     };
     hooks.drain = [this]() { drain(); };
@@ -122,6 +143,10 @@
     };
     hooks.configInForce = [this](std::uint64_t version, std::string text) {
         callerDuty_.tryPost([this, version, text = std::move(text)]() { front_.onConfigInForce(version, text); });
+        peerDuty_.tryPost([this, version]() { gossip_.setConfigVersion(version); });
+    };
+    hooks.announce = [this](BackendAnnouncement announcement) {
+        peerDuty_.tryPost([this, announcement = std::move(announcement)]() { gossip_.hear(announcement); });
     };
     hooks.ready = [this](bool ready) { callerDuty_.tryPost([this, ready]() { front_.setReady(ready); }); };
     return hooks;
@@ -145,8 +170,33 @@
 {
     PeerNetwork::Hooks hooks;
     hooks.onMessage = [this](PeerMessage message) { deliver(std::move(message)); };
-    hooks.onUnreachable
-        = [this](const VmId &vm) { relayDuty_.tryPost([this, vm]() { entry_.onPeerUnreachable(vm); }); };
+    hooks.onUnreachable = [this](const VmId &vm) {
+        gossip_.onDoubt(vm);
+        relayDuty_.tryPost([this, vm]() { entry_.onPeerUnreachable(vm); });
+    };
+    return hooks;
+}
+
+GossipRuntime::Hooks Daemon::gossipHooks()
+{
+    GossipRuntime::Hooks hooks;
+    hooks.sendSync = [this](const VmId &to, MembershipSync sync) { peers_.send(to, std::move(sync)); };
+    hooks.memberChanged = [this](const MemberRecord &record) {
+        peers_.setPeer(record.id, { record.peerHost, record.peerPort });
+        if (record.state == MemberState::Dead || record.state == MemberState::Left) {
+            // Forwards to it must not wait for a connection that was cut silently.
+            peers_.reset(record.id);
+            relayDuty_.tryPost([this, vm = record.id]() { entry_.onPeerUnreachable(vm); });
+        }
+    };
+    hooks.memberForgotten = [this](const VmId &vm) { peers_.removePeer(vm); };
+    hooks.backendHeard = [this](const BackendAnnouncement &announcement) {
+        const PeerMessage message { settings_.id, announcement };
+        if (control_) {
+            controlDuty_.tryPost([this, message]() { control_->onMessage(message); });
+        }
+        relayDuty_.tryPost([this, message]() { entry_.onMessage(message); });
+    };
     return hooks;
 }
 
@@ -166,14 +216,20 @@
 void Daemon::deliver(PeerMessage message)
 {
     const PeerPayload &payload = message.payload;
-    const bool forControl = std::holds_alternative<RaftMessage>(payload)
-        || std::holds_alternative<LeaseRequest>(payload) || std::holds_alternative<ConfigChangeRequest>(payload)
-        || std::holds_alternative<BackendAnnouncement>(payload);
-    if (forControl && control_) {
-        controlDuty_.tryPost([this, message]() { control_->onMessage(message); });
+    if (std::holds_alternative<BackendAnnouncement>(payload)) {
+        counters_.add("peer.rejected.announcement"); // Announcements spread with the membership protocol only.
+        return;
+    }
+    if (const auto *sync = std::get_if<MembershipSync>(&payload); sync != nullptr) {
+        gossip_.onSync(message.from, *sync);
+        return;
     }
-    if (!forControl || std::holds_alternative<BackendAnnouncement>(payload)) {
+    const bool forControl = std::holds_alternative<RaftMessage>(payload)
+        || std::holds_alternative<LeaseRequest>(payload) || std::holds_alternative<ConfigChangeRequest>(payload);
+    if (!forControl) {
         relayDuty_.tryPost([this, message = std::move(message)]() { entry_.onMessage(message); });
+    } else if (control_) {
+        controlDuty_.tryPost([this, message = std::move(message)]() { control_->onMessage(message); });
     }
 }
 
@@ -183,36 +239,68 @@
         return;
     }
     spdlog::info("draining");
+    peerDuty_.tryPost([this]() { gossip_.startDraining(); });
     callerDuty_.tryPost([this]() {
         front_.startDraining();
-        drainDeadline_ = Clock::now() + settings_.drainLimit;
+        noticeUntil_ = Clock::now() + settings_.drainNotice;
+        drainDeadline_ = noticeUntil_ + settings_.drainLimit;
         callerDuty_.every(DrainPoll, [this]() { pollDrained(); });
     });
-    relayDuty_.tryPost([this]() { entry_.drain(); });
 }
 
+/// Goes on serving until the balancer has noticed, then finishes what is open.
 void Daemon::pollDrained()
 {
-    if (drained_) {
+    if (drained_ || Clock::now() < noticeUntil_) {
         return;
     }
+    if (!std::exchange(noticed_, true)) {
+        front_.stopListening();
+        relayDuty_.tryPost([this]() { entry_.drain(); });
+    }
     relayDuty_.tryPost([this]() {
         const bool idle = entry_.idle();
-        callerDuty_.tryPost([this, idle]() {
-            const bool done = idle && front_.openCalls() == 0;
-            if (drained_ || (!done && Clock::now() < drainDeadline_)) {
-                return;
-            }
-            drained_ = true;
-            front_.stopListening();
-            finished_.set_value(done ? 0 : ExitRequestsCut);
-        });
+        callerDuty_.tryPost([this, idle]() { checkDrained(idle); });
+    });
+}
+
+void Daemon::checkDrained(bool idle)
+{
+    if (drained_) {
+        return;
+    }
+    front_.closeIdle(DrainIdle);
+    const bool done = idle && front_.openCalls() == 0 && front_.connections() == 0;
+    if (!done && Clock::now() < drainDeadline_) {
+        return;
+    }
+    drained_ = true;
+    const bool cut = !idle || front_.openCalls() > 0;
+    finish(cut ? ExitRequestsCut : 0);
+}
+
+/// Leaves, and gives the last messages to other VMs time to be sent.
+void Daemon::finish(int code)
+{
+    peerDuty_.tryPost([this]() { gossip_.leave(); });
+    leaveTimer_ = std::make_unique<asio::steady_timer>(callerDuty_.context(), LeaveTime);
+    leaveTimer_->async_wait([this, code](const boost::system::error_code &) { finished_.set_value(code); });
+}
+
+/// Each signal asks for the same drain; a second one must not end the process.
+void Daemon::waitForSignal(asio::signal_set &signals)
+{
+    signals.async_wait([this, &signals](const boost::system::error_code &error, int) {
+        if (!error) {
+            drain();
+            waitForSignal(signals);
+        }
     });
 }
 
 int Daemon::run()
 {
-    for (const Expected<void> &listening : { front_.listen(), peers_.listen() }) {
+    for (const Expected<void> &listening : { front_.listen(), peers_.listen(), gossip_.listen() }) {
         if (!listening) {
             spdlog::error("{}", listening.error().detail);
             return ExitStartFailed;
@@ -225,13 +313,14 @@
         }
         control_->start();
     }
+    if (control_) {
+        control_->setCut(
+            [this](const Endpoint &address) { return faults_.cutsOut(address.host) || faults_.cutsIn(address.host); });
+    }
     entry_.start();
+    gossip_.start();
     asio::signal_set signals(callerDuty_.context(), SIGTERM, SIGINT);
-    signals.async_wait([this](const boost::system::error_code &error, int) {
-        if (!error) {
-            drain();
-        }
-    });
+    waitForSignal(signals);
     const std::array duties { &callerDuty_, &relayDuty_, &backendDuty_, &peerDuty_, &controlDuty_ };
     for (Duty *duty : duties) {
         duty->start();
