--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -141,7 +141,9 @@
 {
     if (isCut_ && isCut_(address)) {
         auto timer = std::make_shared<boost::asio::steady_timer>(duty_.context(), DatabaseTimeout);
-        timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) { done(std::nullopt); });
+        timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) {
+            done({ std::nullopt, false });
+        });
         return;
     }
     auto connection = std::make_shared<HttpConnection>(duty_.context());
--- a/unittests/net/backendiotest.cpp
+++ b/unittests/net/backendiotest.cpp
@@ -35,7 +35,8 @@
     int statements = 0;
     HttpServer server { duty.context(), {},
         [this](const HttpRequest &request, const HttpReply &reply) { serve(request, reply); } };
-    BackendIo io { duty, counters,
+    FaultPlan faults;
+    BackendIo io { duty, counters, faults,
         { [this](ConnectionId id) { opened.push_back(id); }, [this](ConnectionId id) { closed.push_back(id); },
             [this](BackendReply reply) { replies.push_back(std::move(reply)); },
             [](const BackendId &, std::optional<LogPoint>) {} } };
