--- a/include/daisyrelay/membership/membertable.h
+++ b/include/daisyrelay/membership/membertable.h
@@ -20,7 +20,7 @@
 class MemberTable
 {
 public:
-    MemberTable(MemberRecord self, const MembershipTiming &timing, Counters &counters);
+    MemberTable(const MemberRecord &self, const MembershipTiming &timing, Counters &counters);
 
     /// Takes in what another VM says. \returns whether it was news.
     bool merge(Instant now, const MemberRecord &record);
--- a/lib/control/leaseholder.cpp
+++ b/lib/control/leaseholder.cpp
@@ -102,7 +102,7 @@
 void LeaseHolder::merge(const LeaseTable &table)
 {
     if (table.baseVersion == 0) {
-        std::vector<HomeGrant> homes = table.keepsHomes ? std::move(state_.table.homes) : table.homes;
+        std::vector<HomeGrant> homes = table.keepsHomes ? state_.table.homes : table.homes;
         needsWholeTable_ = needsWholeTable_ && table.keepsHomes;
         state_.table = table;
         state_.table.homes = std::move(homes);
--- a/lib/membership/membertable.cpp
+++ b/lib/membership/membertable.cpp
@@ -29,7 +29,7 @@
         && record.peerHost.size() <= LongestName && record.peerPort != 0 && record.state <= MemberState::Left;
 }
 
-MemberTable::MemberTable(MemberRecord self, const MembershipTiming &timing, Counters &counters)
+MemberTable::MemberTable(const MemberRecord &self, const MembershipTiming &timing, Counters &counters)
     : selfId_(self.id), timing_(timing), counters_(counters)
 {
     set({}, self);
@@ -164,9 +164,9 @@
 
 const std::string &MemberTable::regionOf(const ZoneId &zone) const
 {
-    static const std::string unknown;
+    static const std::string Unknown;
     const auto found = regions_.find(zone);
-    return found == regions_.end() ? unknown : found->second;
+    return found == regions_.end() ? Unknown : found->second;
 }
 
 std::size_t MemberTable::liveCount() const
--- a/lib/net/gossipruntime.cpp
+++ b/lib/net/gossipruntime.cpp
@@ -44,7 +44,6 @@
     : duty_(duty)
     , settings_(settings)
     , faults_(faults)
-    , counters_(counters)
     , hooks_(std::move(hooks))
     , core_(gossipOptions(settings), counters)
     , transport_(duty, settings.secret, counters, [this](const GossipMessage &message) { onMessage(message); })
--- a/lib/net/gossipruntime.h
+++ b/lib/net/gossipruntime.h
@@ -48,7 +48,6 @@
     Duty &duty_;
     Settings settings_;
     FaultPlan &faults_;
-    Counters &counters_;
     Hooks hooks_;
     GossipCore core_;
     GossipTransport transport_;
