--- a/tools/daisyrelay-scale/main.cpp
+++ b/tools/daisyrelay-scale/main.cpp
@@ -153,7 +153,7 @@
             const std::string bytes = encodePeerMessage({ sync->to, sync->sync });
             sentBytes += bytes.size();
             sent_[number] += bytes.size();
-            tables_.push_back({ { number, to }, std::move(sync->sync) });
+            tables_.push_back({ { number, to }, sync->sync });
         }
     }
 }
--- a/unittests/limits/poolmodel.h
+++ b/unittests/limits/poolmodel.h
@@ -45,7 +45,6 @@
     daisyrelay::WorkId lastWork_ = 0;
     std::size_t limit_ = 0;
     std::size_t slots_ = 0;
-    std::size_t mostRunning_ = 0; ///< The slots in force when the last statement started.
     std::map<daisyrelay::WorkId, daisyrelay::PoolWork> waiting_;
     std::set<daisyrelay::ConnectionId> opening_;
     std::set<daisyrelay::ConnectionId> open_;
