Count an entry's share of a database in one place

Cause: the pool's limit and the report of connections beyond the share each added fixed and leased connections by a formula of their own; the sum that must never pass the database's limit stood twice. Change: both ask grantedConnections(). Behaviour and tests are as before.

--- a/lib/relay/overshare.cpp
+++ b/lib/relay/overshare.cpp
@@ -7,11 +7,8 @@
 {
     std::vector<BackendId> result;
     for (const auto &[backend, pool] : pools_) {
-        std::size_t granted = 0;
-        if (const HomeGrant *grant = lease_.grantOf(backend); grant != nullptr) {
-            const bool home = grant->entry == options_.vm && lease_.liveAt(now);
-            granted = grant->fixedConnections + (home ? grant->leasedConnections : 0);
-        }
+        const HomeGrant *grant = lease_.grantOf(backend);
+        const std::size_t granted = grant == nullptr ? 0 : grantedConnections(now, *grant);
         if (pool.openConnections() > granted) {
             result.push_back(backend);
         }
--- a/lib/relay/relayimpl.h
+++ b/lib/relay/relayimpl.h
@@ -139,6 +139,8 @@
 
     void drainPool(Instant now, const BackendId &backend);
     void updatePools(Instant now);
+    [[nodiscard]] bool isHomeOf(Instant now, const HomeGrant &grant) const;
+    [[nodiscard]] std::size_t grantedConnections(Instant now, const HomeGrant &grant) const;
     ConnectionPool &poolOf(const BackendId &backend);
     [[nodiscard]] bool mayAcknowledge(Instant now, const GroupKey &group, Term term) const;
     [[nodiscard]] Error whyNotAcknowledged(Instant now) const;
--- a/lib/relay/relaypools.cpp
+++ b/lib/relay/relaypools.cpp
@@ -140,6 +140,16 @@
     drainPool(now, operation.route.backend);
 }
 
+bool RelayCore::Impl::isHomeOf(Instant now, const HomeGrant &grant) const
+{
+    return grant.entry == options_.vm && lease_.liveAt(now);
+}
+
+std::size_t RelayCore::Impl::grantedConnections(Instant now, const HomeGrant &grant) const
+{
+    return grant.fixedConnections + (isHomeOf(now, grant) ? grant.leasedConnections : 0);
+}
+
 void RelayCore::Impl::updatePools(Instant now)
 {
     for (const BackendState *state : backends_.all()) {
@@ -152,11 +162,8 @@
             connections = std::max<std::size_t>(1, state->announcement.connections / options_.fixedShares);
             slots = std::max<std::size_t>(1, slots / options_.fixedShares);
         } else if (grant != nullptr) {
-            connections = grant->fixedConnections;
-            if (grant->entry == options_.vm && lease_.liveAt(now)) {
-                connections += grant->leasedConnections;
-                warm = 1;
-            }
+            connections = grantedConnections(now, *grant);
+            warm = isHomeOf(now, *grant) ? 1 : 0;
             if (watched_.contains(backend)) {
                 connections -= std::min(connections, WatchConnections);
             }
