--- a/include/daisyrelay/base/time.h
+++ b/include/daisyrelay/base/time.h
@@ -6,7 +6,16 @@
 
 namespace daisyrelay {
 
-using Clock = std::chrono::steady_clock;
+/// Counts the time during which the VM is suspended, too; leases and the age of data depend on it.
+struct Clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<Clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
 
 /// A point on the monotonic clock of this process; never sent to another VM.
 using Instant = Clock::time_point;
--- a/include/daisyrelay/config.h
+++ b/include/daisyrelay/config.h
@@ -3,4 +3,5 @@
 
 #include "daisyrelay/config/configuration.h"
 #include "daisyrelay/config/configurationcodec.h"
+#include "daisyrelay/config/nodesettings.h"
 #include "daisyrelay/config/settings.h"
--- a/include/daisyrelay/consensus/raftcore.h
+++ b/include/daisyrelay/consensus/raftcore.h
@@ -31,6 +31,10 @@
     RaftCore(Instant now, RaftOptions options, StoredState stored);
 
     void tick(Instant now);
+
+    /// Gives up leadership and does not ask for it again, since this VM is about to leave.
+    void retire(Instant now);
+
     void receive(Instant now, const RaftMessage &message);
 
     /// Appends \p command if this VM leads and its disk can be written. \returns the index it will have.
@@ -115,11 +119,17 @@
     void countVouchers(Instant now);
     void takeNewIncarnation(Instant now);
     void startGenesis(Instant now);
-    void maintainMembership(Instant now);
     void onMembershipChanged();
     void recordMark(const RaftMessage &message);
     [[nodiscard]] RaftStanding standing() const;
 
+    // membershipchanges.cpp
+    void maintainMembership(Instant now);
+    bool admitMember(Membership &membership);
+    bool seatLearner(Instant now, Membership &membership);
+    bool dropSilentMember(Instant now, Membership &membership);
+    [[nodiscard]] bool isSilent(Instant now, const Member &member, Duration limit) const;
+
     // raftcore.cpp
     void send(RaftMessage message, const VmId &to);
     [[nodiscard]] RaftWrite pendingWrite() const;
@@ -159,6 +169,7 @@
     bool vouched_ = false; ///< Whether enough voters know of no promise that the disk has lost.
     std::map<VmId, RaftMessage> helloAnswers_;
     std::map<VmId, std::uint64_t> rejoining_; ///< Incarnations that asked to be members.
+    std::map<VmId, ZoneId> zones_; ///< Where those that said hello run.
     std::map<VmId, Mark> marks_;
 
     std::uint64_t persisted_ = 0; ///< Synced up to this index.
@@ -167,6 +178,8 @@
     bool snapshotDirty_ = false;
     bool writing_ = false; ///< Between takeActions and onPersisted.
     bool blocked_ = false;
+    bool retired_ = false;
+    Instant blockedSince_ {};
     Instant retryAt_ {};
     bool retryDue_ = false;
 
--- a/include/daisyrelay/consensus/raftoptions.h
+++ b/include/daisyrelay/consensus/raftoptions.h
@@ -9,6 +9,7 @@
 
 struct RaftOptions {
     VmId self;
+    ZoneId zone; ///< Where this VM runs; voters are spread over zones.
     std::vector<VmId> controlVms; ///< The first members, and those that may join by themselves.
     std::uint64_t seed = 1; ///< Draws election timeouts and incarnations; must differ at each start.
     Duration heartbeat = std::chrono::milliseconds(50);
@@ -21,6 +22,11 @@
     std::size_t appendBytes = std::size_t { 512 } * 1024; ///< and the most bytes after the first entry.
     std::size_t chunkBytes = std::size_t { 256 } * 1024; ///< Of a snapshot in one message.
     std::size_t largestCommand = std::size_t { 1024 } * 1024;
+    bool mayFound = true; ///< Whether an empty disk may mean the first start of the whole system.
+    bool openMembership = false; ///< Whether VMs that are not listed may join, and silent members are replaced.
+    std::size_t voters = 0; ///< Members beyond this many stay learners; zero makes all of them voters.
+    Duration memberGone = std::chrono::seconds(3); ///< A voter silent for longer gives its seat to a learner.
+    Duration learnerGone = std::chrono::seconds(20); ///< A learner silent for longer is removed.
     std::size_t uncommittedEntries = 1024; ///< A leader refuses proposals while more wait for a quorum.
 };
 
--- a/include/daisyrelay/net/httpconnection.h
+++ b/include/daisyrelay/io/httpconnection.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daisyrelay/config.h"
-#include "daisyrelay/net/httptypes.h"
+#include "daisyrelay/io/httptypes.h"
 
 #include <memory>
 #include <optional>
--- a/include/daisyrelay/net/httptypes.h
+++ b/include/daisyrelay/io/httptypes.h
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace daisyrelay {
 
@@ -18,6 +20,7 @@
     std::string ifMatch; ///< If-Match
     std::string changeId; ///< Daisyrelay-Change-Id
     std::uint64_t connectionId = 0; ///< Set by HttpServer; never reused.
+    std::vector<std::pair<std::string, std::string>> headers; ///< Further ones, sent by HttpConnection.
 };
 
 struct HttpResponse {
--- a/lib/net/raftdriver.h
+++ b/include/daisyrelay/io/raftdriver.h
@@ -1,9 +1,8 @@
 // Stores, syncs and sends what the consensus of this VM decides.
 #pragma once
 
-#include "daisyrelay/config.h"
 #include "daisyrelay/consensus.h"
-#include "daisyrelay/net/posixfilesystem.h"
+#include "daisyrelay/io/posixfilesystem.h"
 
 #include <functional>
 
@@ -21,7 +20,8 @@
     };
 
     /// Reads the data folder. \returns an error if it is damaged or in use; the VM must not start then.
-    static Expected<std::unique_ptr<RaftDriver>> open(const Settings &settings, Counters &counters, Hooks hooks);
+    static Expected<std::unique_ptr<RaftDriver>> open(
+        const std::string &folder, RaftOptions options, Counters &counters, Hooks hooks);
 
     RaftDriver(std::unique_ptr<PosixFileSystem> files, Counters &counters, Hooks hooks);
 
@@ -32,7 +32,7 @@
     bool flush();
 
 private:
-    Expected<void> start(const Settings &settings);
+    Expected<void> start(RaftOptions options);
     void store(const RaftWrite &write);
     void apply(const RaftActions &actions);
     void logChanges();
--- /dev/null
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -0,0 +1,114 @@
+// The connections of this VM to one backend server, and what its answers say about it.
+#pragma once
+
+#include "daisyrelay/limits.h"
+#include "daisyrelay/proxy/proxyactions.h"
+#include "daisyrelay/proxy/proxytiming.h"
+#include "daisyrelay/proxy/session.h"
+
+#include <map>
+#include <set>
+
+namespace daisyrelay {
+
+/// One connection and the state that its backend server keeps for it.
+struct BackendConnection {
+    enum class Use : std::uint8_t {
+        Opening,
+        Idle,
+        Busy, ///< An exchange is under way.
+        Held, ///< Belongs to a transaction that runs nothing at the moment.
+    };
+
+    enum class Purpose : std::uint8_t {
+        Statement,
+        Sample, ///< Asks a primary for its position.
+        Cleanup, ///< Rolls back.
+    };
+
+    ConnectionId id = 0;
+    BackendId backend;
+    Use use = Use::Opening;
+    Purpose purpose = Purpose::Statement;
+    SessionId session = 0; ///< Whose statement or transaction it carries; zero if none, or if that was given up.
+    Instant since {}; ///< When the current use began.
+    Instant deadline {}; ///< An exchange without an answer until then ends the connection.
+    std::map<std::string, std::string> values;
+    std::set<std::string> prepared;
+    std::vector<StatementType> sent; ///< The statements of the exchange.
+    std::size_t payload = 0; ///< Which of them is the caller's.
+    bool guarded = false; ///< Whether the exchange proves that the server leads.
+    std::uint64_t generation = 0; ///< Of the primary at the time of sending.
+};
+
+class BackendPool
+{
+public:
+    BackendPool(BackendRecord record, const ProxyTiming &timing);
+
+    void update(const BackendRecord &record);
+    [[nodiscard]] const BackendRecord &record() const;
+
+    /// Sets how many connections may be open.
+    void setQuota(std::uint32_t quota);
+    [[nodiscard]] std::uint32_t quota() const;
+
+    [[nodiscard]] bool mayOpen(Instant now) const;
+    BackendConnection &open(Instant now, ConnectionId id);
+    void opened(Instant now, ConnectionId id);
+    void lost(Instant now, ConnectionId id, ConnectionLoss loss);
+
+    /// Returns the idle connection whose session values need the fewest changes, or null.
+    BackendConnection *pickIdle(const std::map<std::string, std::string> &values);
+
+    BackendConnection *find(ConnectionId id);
+    [[nodiscard]] std::map<ConnectionId, BackendConnection> &connections();
+
+    /// An answer arrived for what was sent at \p sentAt.
+    void answered(Instant now, Instant sentAt, bool ran);
+
+    /// A statement failed although the server answered, or got no answer.
+    void failed(Instant now);
+
+    /// Returns idle connections above the quota.
+    [[nodiscard]] std::vector<ConnectionId> surplus() const;
+
+    [[nodiscard]] std::size_t inUse() const;
+    [[nodiscard]] std::size_t idle() const;
+    [[nodiscard]] std::size_t opening() const;
+
+    /// Returns the expected time of one more statement.
+    [[nodiscard]] Duration cost() const;
+    [[nodiscard]] Duration meanTime() const;
+
+    /// Whether it may be given work at all.
+    [[nodiscard]] bool usable(Instant now) const;
+
+    /// Whether statements are unanswered for long and nothing else has been answered meanwhile.
+    [[nodiscard]] bool suspect(Instant now) const;
+
+    /// Whether connections to it fail, or stay without an answer.
+    [[nodiscard]] bool unreachable(Instant now) const;
+
+    [[nodiscard]] std::optional<Instant> lastAnswer() const;
+
+    /// Notes how many connections would be in use if there were enough.
+    void noteDemand(Instant now, std::size_t demand);
+    [[nodiscard]] std::uint32_t wanted(Instant now) const;
+
+private:
+    BackendRecord record_;
+    const ProxyTiming &timing_;
+    std::uint32_t quota_ = 0;
+    std::map<ConnectionId, BackendConnection> connections_;
+    ServiceTime serviceTime_;
+    std::uint32_t failures_ = 0; ///< Connections that could not be opened, in a row.
+    std::uint32_t errors_ = 0; ///< Statements that failed, in a row.
+    Instant retryAt_ {};
+    Instant avoidUntil_ {};
+    std::optional<Instant> lastAnswer_;
+    std::size_t peak_ = 0;
+    Instant peakAt_ {};
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -0,0 +1,65 @@
+// What the proxy core asks its driver to do.
+#pragma once
+
+#include "daisyrelay/limits.h"
+#include "daisyrelay/proxy/statement.h"
+#include "daisyrelay/wire.h"
+
+#include <variant>
+
+namespace daisyrelay {
+
+using SessionId = std::uint64_t;
+
+/// The session may send statements.
+struct GreetCaller {
+    SessionId session = 0;
+};
+
+/// The session is refused; it is closed after the answer.
+struct RejectCaller {
+    SessionId session = 0;
+    AnswerCode code = AnswerCode::UnknownDatabase;
+    std::string detail;
+};
+
+struct SendAnswer {
+    SessionId session = 0;
+    CallerAnswer answer;
+};
+
+/// Closes the session once what was written to it is sent.
+struct CloseSession {
+    SessionId session = 0;
+};
+
+/// Opens a connection. ProxyCore::onConnectionOpened or onConnectionLost follows.
+struct OpenBackendConnection {
+    ConnectionId connection = 0;
+    BackendRecord backend;
+    Duration timeout {};
+};
+
+struct CloseBackendConnection {
+    ConnectionId connection = 0;
+};
+
+/// Sends all statements at once. ProxyCore::onExchange follows with one answer for each, or onConnectionLost.
+struct RunExchange {
+    ConnectionId connection = 0;
+    std::vector<Statement> statements;
+};
+
+using ProxyAction = std::variant<GreetCaller, RejectCaller, SendAnswer, CloseSession, OpenBackendConnection,
+    CloseBackendConnection, RunExchange>;
+
+/// Why a connection to a backend server is gone.
+enum class ConnectionLoss : std::uint8_t {
+    Refused, ///< Nothing listens there.
+    TimedOut, ///< It did not open in time.
+    WrongBackend, ///< Another backend server has the address now.
+    Limit, ///< The backend server has as many connections as it takes.
+    Broken, ///< It was open and ended, or its data made no sense.
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -0,0 +1,160 @@
+// The life of a session: from the statement of a caller to a backend server and back.
+#pragma once
+
+#include "daisyrelay/proxy/backendpool.h"
+#include "daisyrelay/proxy/freshnesshistory.h"
+#include "daisyrelay/proxy/proxyactions.h"
+#include "daisyrelay/proxy/proxytiming.h"
+#include "daisyrelay/proxy/session.h"
+#include "daisyrelay/telemetry.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace daisyrelay {
+
+/// Holds no clock, socket or file.
+///
+/// Writes and reads that must see everything run behind a plain BEGIN on the same connection, which a backend server
+/// that does not lead refuses. So no answer depends on who this VM believes to lead. Other reads carry the position that
+/// they need, and the backend server refuses them if its log does not have it.
+class ProxyCore
+{
+public:
+    ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, ProxyTiming timing = {});
+
+    void onUpdate(Instant now, const EntryUpdate &update);
+
+    void onSessionOpened(Instant now, SessionId session, const std::string &database);
+    void onStatement(Instant now, SessionId session, Statement statement);
+
+    /// The caller is gone, or sent something that makes no sense.
+    void onSessionClosed(Instant now, SessionId session);
+
+    void onConnectionOpened(Instant now, ConnectionId connection);
+    void onConnectionLost(Instant now, ConnectionId connection, ConnectionLoss loss);
+    void onExchange(Instant now, ConnectionId connection, std::vector<BackendAnswer> answers);
+
+    void tick(Instant now);
+
+    /// Begins to leave: everything must have ended when \p grace is over.
+    void drain(Instant now, Duration grace);
+
+    /// Whether callers may be sent here.
+    [[nodiscard]] bool ready() const;
+
+    /// Whether a drain is over.
+    [[nodiscard]] bool drained(Instant now) const;
+
+    /// Fills in what control wants to know.
+    void fill(Instant now, EntryReport &report) const;
+
+    /// Whether any session waits for something that time decides.
+    [[nodiscard]] bool isBusy() const;
+
+    [[nodiscard]] std::vector<ProxyAction> takeActions();
+    [[nodiscard]] std::size_t sessions() const;
+
+private:
+    struct Service {
+        PrimaryRecord primary;
+        bool failingOver = false;
+        FreshnessHistory freshness;
+        std::set<std::tuple<std::uint32_t, Instant, SessionId>> waiting; ///< By priority and arrival.
+        Instant sampledAt {}; ///< When a position was last asked for.
+        std::size_t waitingForPrimary = 0;
+    };
+
+    enum class Placement : std::uint8_t {
+        Started,
+        Waits, ///< For a connection, or for something that time decides.
+        Refused,
+    };
+
+    // topology.cpp
+    void applyConfiguration(Instant now, const RouteConfiguration &configuration);
+    void applyTopology(Instant now, const Topology &topology);
+    Service &serviceOf(const ServiceId &service);
+
+    // statements.cpp
+    void answerLocally(Session &session, AnswerCode code = AnswerCode::Ok, std::string detail = {});
+    void keepName(Instant now, Session &session, const Statement &statement);
+    void begin(Instant now, Session &session, const Statement &statement);
+    void rollBack(Instant now, Session &session);
+    void run(Instant now, Session &session, Statement statement);
+    void closeWhenIdle(Session &session);
+    [[nodiscard]] bool writes(const Session &session, const Statement &statement) const;
+
+    // dispatch.cpp
+    void enqueue(Instant now, Session &session);
+    void dequeue(const Session &session);
+    void dispatch(Instant now, const ServiceId &service);
+    Placement place(Instant now, Session &session, Service &service);
+    Placement placeAtPrimary(Instant now, Session &session, Service &service);
+    Placement placeRead(Instant now, Session &session, Service &service, const LogPoint &since);
+    BackendPool *cheapest(Instant now, const PendingStatement &operation, const Service &service, bool idleOnly);
+    [[nodiscard]] std::optional<LogPoint> positionFor(
+        const Session &session, const PendingStatement &operation, const Service &service) const;
+    void openFor(Instant now, BackendPool &pool, std::size_t demand);
+    void refuse(Instant now, Session &session, AnswerCode code, std::string_view reason, Duration comeBack);
+
+    // exchanges.cpp
+    void send(Instant now, Session &session, BackendPool &pool, BackendConnection &connection,
+        std::optional<LogPoint> since);
+    void appendSessionState(
+        const Session &session, const PendingStatement &operation, BackendConnection &connection, std::vector<Statement> &out);
+    const std::string &preparedName(const PreparedStatement &statement);
+    void sample(Instant now, const ServiceId &id, Service &service);
+    void cleanUp(Instant now, BackendPool &pool, BackendConnection &connection);
+    void release(Instant now, BackendPool &pool, BackendConnection &connection);
+    void closeConnection(Instant now, BackendPool &pool, ConnectionId connection, ConnectionLoss loss);
+
+    // outcomes.cpp
+    void onPayload(Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendAnswer> &answers);
+    void succeed(Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendAnswer &answer);
+    void tryAgain(Instant now, Session &session, BackendPool &pool, AnswerCode code);
+    void fail(Instant now, Session &session, BackendAnswer &answer);
+    void loseAnswer(Instant now, Session &session, std::string_view reason);
+    void finish(Instant now, Session &session, CallerAnswer answer);
+    void learnPosition(const BackendPool &pool, const BackendConnection &connection, const BackendAnswer &answer);
+    void logOutcome(Instant now, const Session &session, const PendingStatement &operation, const CallerAnswer &answer);
+
+    // timers.cpp
+    void checkOperations(Instant now);
+    void checkConnections(Instant now);
+    void hedge(Instant now, Session &session);
+    void checkIdleTransactions(Instant now);
+    void keepSamples(Instant now);
+    void advanceDrain(Instant now);
+
+    [[nodiscard]] BackendPool *poolOf(const BackendId &backend);
+    [[nodiscard]] const BackendPool *poolOf(const BackendId &backend) const;
+    [[nodiscard]] std::shared_ptr<const DatabaseRoute> routeOf(const std::string &database) const;
+    [[nodiscard]] Session *find(SessionId session);
+
+    ZoneId zone_;
+    EventLog &log_;
+    Metrics &metrics_;
+    ProxyTiming timing_;
+    std::uint64_t configVersion_ = 0;
+    std::uint64_t topologyIndex_ = 0;
+    Duration transactionIdle_ {};
+    std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes_;
+    std::map<ServiceId, Service> services_;
+    std::map<BackendId, BackendPool> pools_;
+    std::map<BackendId, std::uint32_t> quotas_;
+    std::unordered_map<SessionId, Session> sessions_;
+    std::set<SessionId> active_; ///< Sessions with a statement under way.
+    std::unordered_map<ConnectionId, BackendId> connections_;
+    std::map<PreparedStatement, std::string> names_;
+    std::uint64_t nextName_ = 1;
+    ConnectionId nextConnection_ = 1;
+    Instant checkedIdleAt_ {};
+    std::optional<Instant> drainSince_;
+    Duration grace_ {};
+    std::vector<ProxyAction> actions_;
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -0,0 +1,29 @@
+// Durations and limits by which the proxy decides.
+#pragma once
+
+#include "daisyrelay/base.h"
+
+namespace daisyrelay {
+
+struct ProxyTiming {
+    Duration connectTimeout = std::chrono::milliseconds(600); ///< A handshake takes 12 ms of an idle backend server.
+    Duration firstBackoff = std::chrono::milliseconds(30); ///< After a connection that could not be opened,
+    Duration longestBackoff = std::chrono::milliseconds(800); ///< doubled up to this.
+    Duration busyBackoff = std::chrono::milliseconds(8); ///< Before a statement is offered again to the same server.
+    Duration sampleInterval = std::chrono::milliseconds(300); ///< A newer position of the primary is asked for then;
+                                                              ///< bounds of staleness are a second and more.
+    Duration sampleSpacing = std::chrono::milliseconds(20); ///< Positions closer to each other are not kept.
+    Duration sampleAge = std::chrono::seconds(10); ///< Older positions serve no bound.
+    Duration suspicion = std::chrono::milliseconds(250); ///< A primary that answers nothing for longer gets no writes.
+    Duration shortestHedge = std::chrono::milliseconds(60); ///< A read is not given to a second server earlier.
+    Duration zoneCost = std::chrono::milliseconds(2); ///< Of a server in another zone: one more round trip.
+    Duration surplusAfter = std::chrono::seconds(5); ///< Demand for connections is remembered for so long.
+    Duration drainNotice = std::chrono::milliseconds(2300); ///< The balancer needs two missed checks of a second each.
+    Duration drainReserve = std::chrono::milliseconds(900); ///< Of the grace, for closing what is left.
+    double holdPart = 0.3; ///< Of a statement's timeout: how long it may wait without being offered to a server.
+    std::uint32_t mostAttempts = 5; ///< For one statement that did not run.
+    std::size_t mostPrepared = 64; ///< Prepared statements on one connection.
+    std::size_t mostSessionNames = 256; ///< Prepared statements, and values, of one session.
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/proxy/session.h
@@ -0,0 +1,83 @@
+// One session of a caller: its values, prepared statements, transaction, and the statement that is under way.
+#pragma once
+
+#include "daisyrelay/proxy/proxyactions.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace daisyrelay {
+
+struct PreparedStatement {
+    bool writes = false;
+    std::string shape;
+
+    auto operator<=>(const PreparedStatement &) const = default;
+};
+
+/// Where a session's own writes are.
+struct WriteFloor {
+    LogPoint point;
+    std::uint64_t generation = 0; ///< Of the primary that acknowledged it.
+};
+
+/// A transaction as its caller sees it. It starts at a backend server with its first statement.
+struct CallerTransaction {
+    bool readOnly = false;
+    bool failed = false; ///< Only its end is accepted.
+    bool wrote = false;
+    ConnectionId connection = 0; ///< Zero until it has started.
+    std::uint64_t generation = 0;
+    Instant beganAt {};
+    Instant idleSince {};
+    std::shared_ptr<const DatabaseRoute> route;
+};
+
+/// A statement on its way to a backend server and back.
+struct PendingStatement {
+    enum class Role : std::uint8_t {
+        Single,
+        First, ///< Of a transaction; begins it at the backend server.
+        Next,
+    };
+
+    Statement statement;
+    Role role = Role::Single;
+    std::shared_ptr<const DatabaseRoute> route;
+    bool writes = false;
+    bool needsPrimary = false;
+    Instant arrivedAt {};
+    Instant freshAt {}; ///< What was acknowledged before counts: the arrival of the statement or of its transaction.
+    Instant deadline {};
+    Instant holdUntil {}; ///< Waits without being offered until then.
+    Instant retryAt {};
+    Instant sentAt {};
+    std::uint32_t attempts = 0;
+    bool offered = false; ///< Whether it was ever sent.
+    ConnectionId connection = 0; ///< While it runs.
+    std::set<BackendId> tried; ///< Servers that lag too far for it, or failed it.
+    AnswerCode lastRefusal = AnswerCode::Busy;
+};
+
+struct Session {
+    SessionId id = 0;
+    std::string database;
+    std::map<std::string, std::string> values;
+    std::map<std::string, PreparedStatement> prepared;
+    std::optional<WriteFloor> floor;
+    std::optional<CallerTransaction> transaction;
+    std::optional<PendingStatement> operation;
+    Instant lastActive {};
+
+    [[nodiscard]] TransactionState state() const
+    {
+        if (!transaction) {
+            return TransactionState::Idle;
+        }
+        return transaction->failed ? TransactionState::Failed : TransactionState::Open;
+    }
+};
+
+} // namespace daisyrelay
--- /dev/null
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -0,0 +1,60 @@
+// What the leader knows of each entry, and how the connections to backend servers are divided among them.
+#pragma once
+
+#include "daisyrelay/supervision/supervisionstate.h"
+#include "daisyrelay/supervision/supervisiontiming.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace daisyrelay {
+
+/// One entry since the leader began to lead.
+struct ReportedEntry {
+    EntryReport report;
+    Instant heardAt {};
+    std::map<BackendId, std::uint32_t> granted; ///< The most that it may count on.
+    std::uint64_t configSent = 0;
+    std::uint64_t topologySent = 0;
+    Instant configSentAt {};
+    Instant topologySentAt {};
+};
+
+/// Divides the connections: an equal share for each entry, and what is left goes to those that ask for it.
+///
+/// Only the entry itself lowers what it counts on, so that the sum over all entries never exceeds the limit.
+class EntryRegistry
+{
+public:
+    explicit EntryRegistry(SupervisionTiming timing);
+
+    void reset(Instant now);
+
+    /// Takes in a report. \returns false if a later one of the same run is known.
+    bool report(Instant now, const VmId &entry, const EntryReport &report);
+
+    /// Forgets entries that are gone.
+    void expire(Instant now);
+
+    /// Returns the quotas of \p entry that have to change, and counts on raised ones from now on.
+    std::vector<ConnectionQuota> grant(Instant now, const VmId &entry, const SupervisionState &state);
+
+    /// Tells whether any entry proves that \p backend leads.
+    [[nodiscard]] bool anyAnswered(Instant since, const ServiceId &service, const BackendId &backend) const;
+
+    /// Tells whether most entries that were heard lately can not reach \p backend.
+    [[nodiscard]] bool mostAreCutFrom(Instant now, const ServiceId &service, const BackendId &backend) const;
+
+    [[nodiscard]] std::map<VmId, ReportedEntry> &sessions();
+    [[nodiscard]] Duration reportInterval() const;
+
+private:
+    [[nodiscard]] std::uint32_t counted(const BackendId &backend) const;
+
+    SupervisionTiming timing_;
+    Instant since_ {};
+    std::map<VmId, ReportedEntry> sessions_;
+};
+
+} // namespace daisyrelay
--- a/include/daisyrelay/wire.h
+++ b/include/daisyrelay/wire.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "daisyrelay/wire/backendannouncement.h"
+#include "daisyrelay/wire/backendrecord.h"
+#include "daisyrelay/wire/clustermessages.h"
 #include "daisyrelay/wire/codec.h"
 #include "daisyrelay/wire/controlmessages.h"
 #include "daisyrelay/wire/gossipmessage.h"
@@ -10,4 +12,6 @@
 #include "daisyrelay/wire/peermessage.h"
 #include "daisyrelay/wire/raftmessages.h"
 #include "daisyrelay/wire/raftstate.h"
+#include "daisyrelay/wire/routeconfiguration.h"
 #include "daisyrelay/wire/statement.h"
+#include "daisyrelay/wire/supervisionsnapshot.h"
--- a/include/daisyrelay/wire/raftmessages.h
+++ b/include/daisyrelay/wire/raftmessages.h
@@ -42,12 +42,13 @@
     std::uint64_t offset = 0; ///< InstallSnapshot: of this chunk. Its answer: of the next chunk wanted.
     std::uint64_t total = 0; ///< InstallSnapshot: bytes of the whole encoded snapshot.
     std::string snapshot; ///< One chunk of an encoded RaftSnapshot.
+    ZoneId zone; ///< Hello and its answer: where the sender runs.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(kind, from, to, incarnation, term, lastIndex, lastTerm, commit, granted, round, standing, entries,
-            offset, total, snapshot);
+            offset, total, snapshot, zone);
     }
 };
 
--- a/include/daisyrelay/wire/raftstate.h
+++ b/include/daisyrelay/wire/raftstate.h
@@ -34,13 +34,14 @@
     VmId vm;
     std::uint64_t incarnation = 0;
     bool voter = false; ///< A learner receives the log but counts for no quorum.
+    ZoneId zone; ///< Where it runs; empty if it did not say.
 
     bool operator==(const Member &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(vm, incarnation, voter);
+        archive(vm, incarnation, voter, zone);
     }
 };
 
--- /dev/null
+++ b/include/daisyrelay/wire/supervisionsnapshot.h
@@ -0,0 +1,35 @@
+// The replicated state of the supervisor as it is stored in a snapshot.
+#pragma once
+
+#include "daisyrelay/wire/backendrecord.h"
+#include "daisyrelay/wire/routeconfiguration.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daisyrelay {
+
+struct SupervisionSnapshot {
+    RouteConfiguration configuration;
+    std::string configurationSource;
+    std::uint64_t topologyIndex = 0;
+    std::vector<BackendRecord> backends;
+    std::vector<PrimaryRecord> primaries;
+    std::vector<BackendRecord> gone; ///< The last lives of backend servers that have left, oldest first.
+
+    bool operator==(const SupervisionSnapshot &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(configuration, configurationSource, topologyIndex, backends, primaries, gone);
+    }
+};
+
+std::string encodeSupervisionSnapshot(const SupervisionSnapshot &snapshot);
+
+/// \returns ErrorKind::BadRequest if \p bytes are not one whole snapshot.
+Expected<SupervisionSnapshot> decodeSupervisionSnapshot(std::string_view bytes);
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/config/nodesettings.cpp
@@ -0,0 +1,98 @@
+#include "daisyrelay/config/nodesettings.h"
+
+#include "yamlreader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace daisyrelay {
+
+static void readRole(YamlReader &reader, const YAML::Node &root, NodeSettings &settings)
+{
+    const YAML::Node listen = root["listen"];
+    if (!reader.checkMap(listen, "listen", { "callers", "health", "control" })) {
+        return;
+    }
+    settings.entry = listen["callers"].IsDefined();
+    settings.control = listen["control"].IsDefined();
+    if (settings.entry) {
+        settings.callers = reader.readEndpoint(listen, "callers");
+        settings.health = reader.readEndpoint(listen, "health");
+    }
+    if (settings.control) {
+        settings.controlApi = reader.readEndpoint(listen, "control");
+        settings.dataFolder = reader.requireString(root, "data_folder");
+        settings.platform = reader.readEndpoint(root, "platform");
+    }
+    if (!settings.entry && !settings.control) {
+        reader.fail(listen, "listen", "must name callers or control");
+    }
+}
+
+static void readSeeds(YamlReader &reader, const YAML::Node &root, NodeSettings &settings)
+{
+    const YAML::Node seeds = root["seeds"];
+    if (!seeds || !seeds.IsSequence() || seeds.size() == 0) {
+        reader.fail(seeds, "seeds", "must be a list of address:port");
+        return;
+    }
+    for (std::size_t at = 0; at < seeds.size(); ++at) {
+        YAML::Node holder;
+        holder["seed"] = seeds[at];
+        const Endpoint endpoint = reader.readEndpoint(holder, "seed");
+        settings.seeds.push_back(VmId { endpoint.host });
+        settings.controlPort = endpoint.port;
+    }
+}
+
+static NodeSettings readNodeSettings(YamlReader &reader, const YAML::Node &root)
+{
+    NodeSettings settings;
+    if (!reader.checkMap(root, "",
+            { "address", "name", "zone", "listen", "peer_port", "seeds", "founding", "data_folder", "tolerated",
+                "grace", "platform", "metrics_port", "log_budget" })) {
+        return settings;
+    }
+    settings.id = VmId { reader.requireString(root, "address") };
+    settings.name = reader.requireString(root, "name");
+    settings.zone = ZoneId { reader.requireString(root, "zone") };
+    readRole(reader, root, settings);
+    readSeeds(reader, root, settings);
+    settings.peerPort = reader.readPort(root, "peer_port", 0);
+    if (settings.peerPort == 0) {
+        reader.fail(root["peer_port"], "peer_port", "is required");
+    }
+    settings.founding = reader.readBool(root, "founding", false);
+    settings.tolerated = reader.readNumber(root, "tolerated", settings.tolerated);
+    settings.grace = reader.readDuration(root, "grace", settings.grace);
+    settings.metricsPort = reader.readPort(root, "metrics_port", 0);
+    settings.logBudget = reader.readNumber(root, "log_budget", settings.logBudget);
+    return settings;
+}
+
+Expected<NodeSettings> parseNodeSettings(const std::string &text, const std::string &fileName)
+{
+    YamlReader reader(fileName);
+    const YAML::Node root = reader.parse(text);
+    NodeSettings settings;
+    if (reader.ok()) {
+        settings = readNodeSettings(reader, root);
+    }
+    if (!reader.ok()) {
+        return tl::unexpected(Error { ErrorKind::InvalidConfig, reader.error() });
+    }
+    return settings;
+}
+
+Expected<NodeSettings> loadNodeSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return tl::unexpected(Error { ErrorKind::InvalidConfig, fileName + ": can not be read" });
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseNodeSettings(text.str(), fileName);
+}
+
+} // namespace daisyrelay
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -3,7 +3,6 @@
 #include "yamlreader.h"
 
 #include <array>
-#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -11,25 +10,6 @@
 
 static constexpr std::size_t ShortestSecret = 16;
 
-static Endpoint readEndpoint(YamlReader &reader, const YAML::Node &parent, const std::string &key)
-{
-    Endpoint endpoint;
-    const std::string text = reader.requireString(parent, key);
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        reader.fail(parent[key], key, "must be address:port");
-        return endpoint;
-    }
-    endpoint.host = text.substr(0, colon);
-    const char *begin = text.data() + colon + 1;
-    const char *end = text.data() + text.size();
-    const auto [rest, status] = std::from_chars(begin, end, endpoint.port);
-    if (status != std::errc() || rest != end || endpoint.port == 0 || endpoint.host.empty()) {
-        reader.fail(parent[key], key, "must be address:port");
-    }
-    return endpoint;
-}
-
 static Policy readPolicy(YamlReader &reader, const YAML::Node &root)
 {
     static constexpr std::array Names { std::pair("default", Policy::Default),
@@ -76,7 +56,7 @@
         }
         Seed seed;
         seed.id = VmId { reader.requireString(entry, "id") };
-        seed.peer = readEndpoint(reader, entry, "peer");
+        seed.peer = reader.readEndpoint(entry, "peer");
         seed.control = reader.readBool(entry, "control", false);
         settings.seeds.push_back(std::move(seed));
     }
@@ -94,8 +74,8 @@
     settings.zone = ZoneId { reader.requireString(root, "zone") };
     settings.region = reader.requireString(root, "region");
     readRoles(reader, root["roles"], settings);
-    settings.http = readEndpoint(reader, root, "http");
-    settings.peer = readEndpoint(reader, root, "peer");
+    settings.http = reader.readEndpoint(root, "http");
+    settings.peer = reader.readEndpoint(root, "peer");
     settings.dataFolder = reader.readString(root, "data_folder", "");
     if (settings.control && settings.dataFolder.empty()) {
         reader.fail(root, "data_folder", "is required for the role control");
--- a/lib/config/yamlreader.cpp
+++ b/lib/config/yamlreader.cpp
@@ -3,6 +3,8 @@
 #include "daisyrelay/config/configurationcodec.h"
 
 #include <algorithm>
+#include <charconv>
+#include <limits>
 
 namespace daisyrelay {
 
@@ -95,6 +97,48 @@
     return *value;
 }
 
+Endpoint YamlReader::readEndpoint(const YAML::Node &parent, const std::string &key)
+{
+    Endpoint endpoint;
+    const std::string text = requireString(parent, key);
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        fail(parent[key], key, "must be address:port");
+        return endpoint;
+    }
+    endpoint.host = text.substr(0, colon);
+    const char *begin = text.data() + colon + 1;
+    const char *end = text.data() + text.size();
+    const auto [rest, status] = std::from_chars(begin, end, endpoint.port);
+    if (status != std::errc() || rest != end || endpoint.port == 0 || endpoint.host.empty()) {
+        fail(parent[key], key, "must be address:port");
+    }
+    return endpoint;
+}
+
+std::uint32_t YamlReader::readNumber(const YAML::Node &parent, const std::string &key, std::uint32_t fallback)
+{
+    const YAML::Node node = parent[key];
+    if (!node) {
+        return fallback;
+    }
+    std::uint32_t value = fallback;
+    if (!node.IsScalar() || !YAML::convert<std::uint32_t>::decode(node, value)) {
+        fail(node, key, "must be a whole number");
+    }
+    return value;
+}
+
+std::uint16_t YamlReader::readPort(const YAML::Node &parent, const std::string &key, std::uint16_t fallback)
+{
+    const std::uint32_t value = readNumber(parent, key, fallback);
+    if (value > std::numeric_limits<std::uint16_t>::max()) {
+        fail(parent[key], key, "must be a port");
+        return fallback;
+    }
+    return static_cast<std::uint16_t>(value);
+}
+
 void YamlReader::fail(const YAML::Node &node, const std::string &key, const std::string &message)
 {
     if (!error_.empty()) {
--- a/lib/config/yamlreader.h
+++ b/lib/config/yamlreader.h
@@ -1,7 +1,7 @@
 // Reads typed values from YAML nodes and reports the first error with file, line and key.
 #pragma once
 
-#include "daisyrelay/base.h"
+#include "daisyrelay/config/settings.h"
 
 #include <initializer_list>
 #include <string>
@@ -25,6 +25,11 @@
     std::string readString(const YAML::Node &parent, const std::string &key, const std::string &fallback);
     std::string requireString(const YAML::Node &parent, const std::string &key);
     bool readBool(const YAML::Node &parent, const std::string &key, bool fallback);
+
+    /// Reads "address:port".
+    Endpoint readEndpoint(const YAML::Node &parent, const std::string &key);
+    std::uint16_t readPort(const YAML::Node &parent, const std::string &key, std::uint16_t fallback);
+    std::uint32_t readNumber(const YAML::Node &parent, const std::string &key, std::uint32_t fallback);
     std::chrono::milliseconds readDuration(
         const YAML::Node &parent, const std::string &key, std::chrono::milliseconds fallback);
 
--- a/lib/consensus/raftcore.cpp
+++ b/lib/consensus/raftcore.cpp
@@ -34,8 +34,11 @@
     retryDue_ = blocked_ && now >= retryAt_;
     sendHello(now);
     if (role_ == RaftRole::Leader) {
-        if (now - ledSince_ > 2 * options_.electionTimeout && now > leaseUntil()
-            && now > leaseUntil() + options_.electionTimeout) {
+        const bool alone = now - ledSince_ > 2 * options_.electionTimeout && now > leaseUntil()
+            && now > leaseUntil() + options_.electionTimeout;
+        // A leader that can not store anything would keep the others from electing one that can.
+        const bool stuck = blocked_ && options_.openMembership && now - blockedSince_ > options_.electionTimeout;
+        if (alone || stuck) {
             becomeFollower(now, hardState_.term);
         } else if (now >= heartbeatAt_) {
             broadcast(now);
@@ -46,12 +49,20 @@
     if (now >= electionAt_) {
         leader_.reset();
         resetElectionTimer(now);
-        if (mayVote(now) && isVoter()) {
+        if (mayVote(now) && isVoter() && !retired_) {
             startElection(now, true);
         }
     }
 }
 
+void RaftCore::retire(Instant now)
+{
+    retired_ = true;
+    if (role_ == RaftRole::Leader) {
+        becomeFollower(now, hardState_.term);
+    }
+}
+
 void RaftCore::receive(Instant now, const RaftMessage &message)
 {
     assert(!writing_ && "the driver must report the write first");
@@ -59,6 +70,11 @@
         return;
     }
     recordMark(message);
+    // A member that was dropped while it was cut off does not know, and would wait for a leader for ever.
+    if (options_.openMembership && message.kind == RaftMessageKind::PreVote && role_ == RaftRole::Leader
+        && memberOf(message.from) == nullptr) {
+        rejoining_[message.from] = message.incarnation;
+    }
     const bool asks = message.kind == RaftMessageKind::Vote || message.kind == RaftMessageKind::PreVote;
     if (asks && message.term > hardState_.term && followsLiveLeader(now)) {
         return;
@@ -147,6 +163,7 @@
 void RaftCore::onPersistFailed(Instant now)
 {
     writing_ = false;
+    blockedSince_ = blocked_ ? blockedSince_ : now;
     blocked_ = true;
     retryAt_ = now + options_.storageRetry;
     // The other side repeats what stays unanswered.
--- a/lib/consensus/rejoin.cpp
+++ b/lib/consensus/rejoin.cpp
@@ -39,6 +39,7 @@
         message.lastIndex = log_.last().position;
         message.lastTerm = log_.last().term;
         message.round = bootNonce_;
+        message.zone = options_.zone;
         send(std::move(message), vm);
     }
 }
@@ -51,6 +52,7 @@
     answer.lastIndex = log_.last().position;
     answer.lastTerm = log_.last().term;
     answer.round = message.round;
+    answer.zone = options_.zone;
     if (const auto known = marks_.find(message.from); known != marks_.end()) {
         const Mark &mark = known->second;
         answer.granted = mark.incarnation == message.incarnation
@@ -63,7 +65,8 @@
     }
     const bool expected = member != nullptr
         || std::find(options_.controlVms.begin(), options_.controlVms.end(), message.from) != options_.controlVms.end();
-    if (message.standing == RaftStanding::Empty && expected && role_ == RaftRole::Leader) {
+    zones_[message.from] = message.zone;
+    if (message.standing == RaftStanding::Empty && (expected || options_.openMembership) && role_ == RaftRole::Leader) {
         rejoining_[message.from] = message.incarnation;
     }
     send(std::move(answer), message.from);
@@ -86,9 +89,16 @@
 // Learners count here, since the membership known here can be older than the one that made them voters.
 void RaftCore::countVouchers(Instant now)
 {
-    const std::size_t others = otherControlVms().size();
-    const auto answered = static_cast<std::size_t>(std::count_if(helloAnswers_.begin(), helloAnswers_.end(),
-        [](const auto &answer) { return answer.second.standing != RaftStanding::Empty; }));
+    // A listed VM that is no member any more has nothing to say about promises.
+    std::size_t others = otherControlVms().size();
+    if (options_.openMembership && !log_.membership().members.empty()) {
+        others = log_.membership().members.size() - (memberOf(options_.self) != nullptr ? 1 : 0);
+    }
+    const auto answered = static_cast<std::size_t>(
+        std::count_if(helloAnswers_.begin(), helloAnswers_.end(), [this](const auto &answer) {
+            return answer.second.standing != RaftStanding::Empty
+                && (!options_.openMembership || log_.membership().members.empty() || memberOf(answer.first) != nullptr);
+        }));
     const bool waited = now - startedAt_ >= options_.electionTimeout;
     vouched_ = vouched_ || answered >= (waited ? (others + 1) / 2 : others);
 }
@@ -113,7 +123,7 @@
     const std::vector<VmId> &vms = options_.controlVms;
     const bool fresh = standing() == RaftStanding::Empty && hardState_.term == 0 && log_.lastIndex() == 0
         && !hardState_.rejoining && !hardStateDirty_;
-    if (!fresh || std::find(vms.begin(), vms.end(), options_.self) == vms.end()) {
+    if (!fresh || !options_.mayFound || std::find(vms.begin(), vms.end(), options_.self) == vms.end()) {
         return;
     }
     Membership membership;
@@ -125,7 +135,8 @@
                 || answer->second.term != 0 || answer->second.lastIndex != 0)) {
             return;
         }
-        membership.members.push_back({ vm, self ? hardState_.incarnation : answer->second.incarnation, true });
+        membership.members.push_back({ vm, self ? hardState_.incarnation : answer->second.incarnation, true,
+            self ? options_.zone : answer->second.zone });
     }
     log_.install({ 0, 0, std::move(membership), "" });
     snapshotDirty_ = true;
@@ -192,37 +203,4 @@
     return true;
 }
 
-// Changes one member at a time, and only once the change before is committed, so that the quorums of two successive
-// memberships always share a voter.
-void RaftCore::maintainMembership(Instant now)
-{
-    const bool settled = log_.termAt(commit_) == hardState_.term && log_.membershipIndex() <= commit_;
-    if (role_ != RaftRole::Leader || !settled || blocked_) {
-        return;
-    }
-    Membership membership = log_.membership();
-    std::erase_if(rejoining_, [this](const auto &entry) {
-        const Member *member = memberOf(entry.first);
-        return member != nullptr && member->incarnation == entry.second;
-    });
-    if (!rejoining_.empty()) {
-        const auto &[vm, incarnation] = *rejoining_.begin();
-        std::erase_if(membership.members, [&vm = vm](const Member &member) { return member.vm == vm; });
-        membership.members.push_back({ vm, incarnation, false });
-        std::sort(membership.members.begin(), membership.members.end(),
-            [](const Member &left, const Member &right) { return left.vm < right.vm; });
-        appendOwn(now, encodeMembership(membership), LogEntryKind::Membership);
-        return;
-    }
-    for (Member &member : membership.members) {
-        const auto found = progress_.find(member.vm);
-        if (!member.voter && found != progress_.end() && found->second.match >= commit_
-            && found->second.heardSent != Instant::min() && now - found->second.heardSent < options_.electionTimeout) {
-            member.voter = true;
-            appendOwn(now, encodeMembership(membership), LogEntryKind::Membership);
-            return;
-        }
-    }
-}
-
 } // namespace daisyrelay
--- a/lib/net/httpconnection.cpp
+++ b/lib/io/httpconnection.cpp
@@ -1,4 +1,4 @@
-#include "daisyrelay/net/httpconnection.h"
+#include "daisyrelay/io/httpconnection.h"
 
 #include <netinet/tcp.h>
 
@@ -95,6 +95,9 @@
     set("Idempotency-Key", request.idempotencyKey);
     set("If-Match", request.ifMatch);
     set("Daisyrelay-Change-Id", request.changeId);
+    for (const auto &[name, value] : request.headers) {
+        set(name.c_str(), value);
+    }
     if (!request.body.empty()) {
         message.set(http::field::content_type, "application/json");
         message.body() = request.body;
--- a/lib/net/httpserver.cpp
+++ b/lib/io/httpserver.cpp
@@ -1,4 +1,4 @@
-#include "daisyrelay/net/httpserver.h"
+#include "daisyrelay/io/httpserver.h"
 
 #include <map>
 #include <optional>
--- a/lib/net/posixfilesystem.cpp
+++ b/lib/io/posixfilesystem.cpp
@@ -1,4 +1,4 @@
-#include "daisyrelay/net/posixfilesystem.h"
+#include "daisyrelay/io/posixfilesystem.h"
 
 #include <cerrno>
 #include <system_error>
--- a/lib/net/raftdriver.cpp
+++ b/lib/io/raftdriver.cpp
@@ -1,35 +1,19 @@
-#include "raftdriver.h"
-
-#include <random>
+#include "daisyrelay/io/raftdriver.h"
 
 #include <spdlog/spdlog.h>
 
 namespace daisyrelay {
 
-static RaftOptions raftOptions(const Settings &settings)
-{
-    RaftOptions options;
-    options.self = settings.id;
-    for (const Seed &seed : settings.seeds) {
-        if (seed.control) {
-            options.controlVms.push_back(seed.id);
-        }
-    }
-    std::random_device device;
-    constexpr unsigned BitsOfDevice = 32;
-    options.seed = (static_cast<std::uint64_t>(device()) << BitsOfDevice) | device();
-    return options;
-}
-
-Expected<std::unique_ptr<RaftDriver>> RaftDriver::open(const Settings &settings, Counters &counters, Hooks hooks)
+Expected<std::unique_ptr<RaftDriver>> RaftDriver::open(
+    const std::string &folder, RaftOptions options, Counters &counters, Hooks hooks)
 {
-    Expected<std::unique_ptr<PosixFileSystem>> files = PosixFileSystem::open(settings.dataFolder);
+    Expected<std::unique_ptr<PosixFileSystem>> files = PosixFileSystem::open(folder);
     if (!files) {
         return tl::unexpected(files.error());
     }
     auto driver = std::make_unique<RaftDriver>(std::move(*files), counters, std::move(hooks));
-    if (const Expected<void> started = driver->start(settings); !started) {
-        return tl::unexpected(Error { started.error().kind, settings.dataFolder + "/" + started.error().detail });
+    if (const Expected<void> started = driver->start(std::move(options)); !started) {
+        return tl::unexpected(Error { started.error().kind, folder + "/" + started.error().detail });
     }
     return driver;
 }
@@ -39,7 +23,7 @@
 {
 }
 
-Expected<void> RaftDriver::start(const Settings &settings)
+Expected<void> RaftDriver::start(RaftOptions options)
 {
     Expected<StoredState> stored = storage_.open();
     if (!stored) {
@@ -57,7 +41,7 @@
     spdlog::info("read the log up to index {} of term {}",
         stored->entries.empty() ? (stored->snapshot ? stored->snapshot->index : 0) : stored->entries.back().index,
         stored->hardState.term);
-    core_ = std::make_unique<RaftCore>(Clock::now(), raftOptions(settings), std::move(*stored));
+    core_ = std::make_unique<RaftCore>(Clock::now(), std::move(options), std::move(*stored));
     return {};
 }
 
--- a/lib/load/loadsession.cpp
+++ b/lib/load/loadsession.cpp
@@ -260,7 +260,7 @@
         next();
         return;
     }
-    timer_.expires_at(at);
+    timer_.expires_after(at - Clock::now());
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             next();
--- a/lib/net/backendio.h
+++ b/lib/net/backendio.h
@@ -3,7 +3,7 @@
 
 #include "daisyrelay/net/duty.h"
 #include "daisyrelay/net/faultplan.h"
-#include "daisyrelay/net/httpconnection.h"
+#include "daisyrelay/io/httpconnection.h"
 #include "daisyrelay/relay.h"
 
 #include <functional>
--- a/lib/net/callerfront.h
+++ b/lib/net/callerfront.h
@@ -3,7 +3,7 @@
 
 #include "daisyrelay/net/duty.h"
 #include "daisyrelay/net/faultplan.h"
-#include "daisyrelay/net/httpserver.h"
+#include "daisyrelay/io/httpserver.h"
 #include "daisyrelay/relay.h"
 
 #include <functional>
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -3,10 +3,27 @@
 #include "protocol.h"
 
 #include <boost/asio/post.hpp>
+#include <random>
+
 #include <spdlog/spdlog.h>
 
 namespace daisyrelay {
 
+static RaftOptions raftOptions(const Settings &settings)
+{
+    RaftOptions options;
+    options.self = settings.id;
+    for (const Seed &seed : settings.seeds) {
+        if (seed.control) {
+            options.controlVms.push_back(seed.id);
+        }
+    }
+    std::random_device device;
+    constexpr unsigned BitsOfDevice = 32;
+    options.seed = (static_cast<std::uint64_t>(device()) << BitsOfDevice) | device();
+    return options;
+}
+
 static constexpr Duration TickInterval = std::chrono::milliseconds(10);
 static constexpr Duration DatabaseTimeout = std::chrono::milliseconds(250);
 
@@ -22,7 +39,7 @@
     hooks.apply = [this](const LogEntry &entry) { control_.onCommitted(Clock::now(), entry); };
     hooks.restore = [this](std::string_view bytes) { return control_.restoreSnapshot(Clock::now(), bytes); };
     hooks.snapshot = [this]() { return control_.encodeSnapshot(); };
-    Expected<std::unique_ptr<RaftDriver>> driver = RaftDriver::open(settings, counters, std::move(hooks));
+    Expected<std::unique_ptr<RaftDriver>> driver = RaftDriver::open(settings.dataFolder, raftOptions(settings), counters, std::move(hooks));
     if (!driver) {
         return tl::unexpected(driver.error());
     }
--- a/lib/net/controlruntime.h
+++ b/lib/net/controlruntime.h
@@ -3,8 +3,8 @@
 
 #include "daisyrelay/control.h"
 #include "daisyrelay/net/duty.h"
-#include "daisyrelay/net/httpconnection.h"
-#include "raftdriver.h"
+#include "daisyrelay/io/httpconnection.h"
+#include "daisyrelay/io/raftdriver.h"
 
 #include <functional>
 
--- a/lib/net/protocol.h
+++ b/lib/net/protocol.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daisyrelay/net/faultplan.h"
-#include "daisyrelay/net/httptypes.h"
+#include "daisyrelay/io/httptypes.h"
 #include "daisyrelay/relay.h"
 
 namespace daisyrelay {
--- /dev/null
+++ b/lib/proxy/dispatch.cpp
@@ -0,0 +1,184 @@
+// Gives waiting statements to backend servers, the most urgent first.
+#include "daisyrelay/proxy/proxycore.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+void ProxyCore::enqueue(Instant now, Session &session)
+{
+    PendingStatement &operation = *session.operation;
+    if (operation.role == PendingStatement::Role::Next) {
+        const auto at = connections_.find(session.transaction->connection);
+        BackendPool *pool = at == connections_.end() ? nullptr : poolOf(at->second);
+        BackendConnection *connection = pool == nullptr ? nullptr : pool->find(session.transaction->connection);
+        if (connection == nullptr) {
+            loseAnswer(now, session, "connection-lost");
+            return;
+        }
+        send(now, session, *pool, *connection, std::nullopt);
+        return;
+    }
+    Service &service = serviceOf(operation.route->service);
+    service.waiting.insert({ operation.route->priority, operation.arrivedAt, session.id });
+    service.waitingForPrimary += operation.needsPrimary ? 1 : 0;
+    dispatch(now, operation.route->service);
+}
+
+void ProxyCore::dequeue(const Session &session)
+{
+    const PendingStatement &operation = *session.operation;
+    Service &service = serviceOf(operation.route->service);
+    const bool waited
+        = service.waiting.erase({ operation.route->priority, operation.arrivedAt, session.id }) > 0;
+    service.waitingForPrimary -= waited && operation.needsPrimary ? 1 : 0;
+}
+
+void ProxyCore::dispatch(Instant now, const ServiceId &id)
+{
+    Service &service = serviceOf(id);
+    bool primaryFull = false;
+    bool readsFull = false;
+    for (auto at = service.waiting.begin(); at != service.waiting.end() && !(primaryFull && readsFull);) {
+        const auto current = at++;
+        Session &session = *find(std::get<SessionId>(*current));
+        const bool atPrimary = session.operation->needsPrimary;
+        if (session.operation->retryAt > now || (atPrimary ? primaryFull : readsFull)) {
+            continue;
+        }
+        if (place(now, session, service) == Placement::Waits && session.operation) {
+            (atPrimary ? primaryFull : readsFull) = session.operation->tried.empty();
+        }
+    }
+}
+
+ProxyCore::Placement ProxyCore::place(Instant now, Session &session, Service &service)
+{
+    const PendingStatement &operation = *session.operation;
+    if (operation.needsPrimary) {
+        return placeAtPrimary(now, session, service);
+    }
+    const std::optional<LogPoint> since = positionFor(session, operation, service);
+    // Without a proven position only a server that proves its leadership may answer.
+    return since ? placeRead(now, session, service, *since) : placeAtPrimary(now, session, service);
+}
+
+std::optional<LogPoint> ProxyCore::positionFor(
+    const Session &session, const PendingStatement &operation, const Service &service) const
+{
+    std::optional<LogPoint> point = service.freshness.coverSince(operation.freshAt - operation.route->maxStaleness);
+    if (!point || operation.route->guarantee != ReadGuarantee::OwnWrites || !session.floor) {
+        return point;
+    }
+    if (session.floor->generation >= service.primary.generation) {
+        return std::max(*point, session.floor->point);
+    }
+    // What a promotion kept of the session's writes is in the first position of the new primary.
+    const std::optional<LogPoint> kept = service.freshness.firstOf(service.primary.generation);
+    return kept ? std::optional(std::max(*point, *kept)) : std::nullopt;
+}
+
+ProxyCore::Placement ProxyCore::placeAtPrimary(Instant now, Session &session, Service &service)
+{
+    BackendPool *pool = poolOf(service.primary.backend);
+    const bool works = pool != nullptr && pool->usable(now) && !pool->suspect(now);
+    if (!works) {
+        if (now < session.operation->holdUntil) {
+            return Placement::Waits;
+        }
+        constexpr Duration ComeBack = std::chrono::milliseconds(250); // About what is left of a failover by then.
+        refuse(now, session, AnswerCode::Busy, "no-primary", ComeBack);
+        return Placement::Refused;
+    }
+    if (BackendConnection *connection = pool->pickIdle(session.values); connection != nullptr) {
+        send(now, session, *pool, *connection, std::nullopt);
+        return Placement::Started;
+    }
+    openFor(now, *pool, service.waitingForPrimary);
+    const auto lanes = static_cast<std::int64_t>(std::max<std::uint32_t>(pool->quota(), 1));
+    const Duration predicted = pool->meanTime() * static_cast<std::int64_t>(service.waitingForPrimary) / lanes;
+    if (session.operation->arrivedAt == now && now + predicted > session.operation->holdUntil) {
+        refuse(now, session, AnswerCode::Busy, "queue-too-long", predicted);
+        return Placement::Refused;
+    }
+    return Placement::Waits;
+}
+
+BackendPool *ProxyCore::cheapest(Instant now, const PendingStatement &operation, const Service &service, bool idleOnly)
+{
+    BackendPool *best = nullptr;
+    Duration bestCost {};
+    bool bestDrains = false;
+    for (auto &[id, pool] : pools_) {
+        if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
+            || pool.suspect(now) || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
+            continue;
+        }
+        Duration cost = pool.cost() + (pool.record().zone == zone_ ? Duration::zero() : timing_.zoneCost);
+        if (id == service.primary.backend) {
+            cost += pool.meanTime(); // Its slots are wanted by what runs nowhere else.
+        }
+        const bool drains = pool.record().draining;
+        if (best == nullptr || (bestDrains && !drains) || (bestDrains == drains && cost < bestCost)) {
+            best = &pool;
+            bestCost = cost;
+            bestDrains = drains;
+        }
+    }
+    return best;
+}
+
+ProxyCore::Placement ProxyCore::placeRead(Instant now, Session &session, Service &service, const LogPoint &since)
+{
+    BackendPool *wanted = cheapest(now, *session.operation, service, false);
+    if (wanted == nullptr) {
+        if (!session.operation->tried.empty()) {
+            session.operation->tried.clear();
+            session.operation->retryAt = now + timing_.busyBackoff;
+        }
+        if (now >= session.operation->holdUntil) {
+            refuse(now, session, session.operation->lastRefusal, "no-server", timing_.longestBackoff);
+            return Placement::Refused;
+        }
+        return Placement::Waits;
+    }
+    BackendPool *chosen = wanted->idle() > 0 ? wanted : cheapest(now, *session.operation, service, true);
+    if (chosen != wanted) {
+        openFor(now, *wanted, service.waiting.size() - service.waitingForPrimary);
+    }
+    if (chosen == nullptr) {
+        return Placement::Waits;
+    }
+    send(now, session, *chosen, *chosen->pickIdle(session.values), since);
+    return Placement::Started;
+}
+
+void ProxyCore::openFor(Instant now, BackendPool &pool, std::size_t demand)
+{
+    pool.noteDemand(now, pool.inUse() + demand);
+    while (pool.opening() < demand && pool.mayOpen(now)) {
+        BackendConnection &connection = pool.open(now, nextConnection_++);
+        connections_[connection.id] = pool.record().id;
+        metrics_.add("connections_opened_total");
+        actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout });
+    }
+}
+
+void ProxyCore::refuse(Instant now, Session &session, AnswerCode code, std::string_view reason, Duration comeBack)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(comeBack).count();
+    metrics_.add(std::string("refused_total{reason=\"") + std::string(reason) + "\"}");
+    log_.log(now, "request.refused",
+        { { "request", std::string_view(session.operation->statement.id) }, { "reason", reason },
+            { "database", std::string_view(session.database) },
+            { "service", std::string_view(session.operation->route->service.value) },
+            { "waited_ms", now - session.operation->arrivedAt },
+            { "attempts", std::uint64_t { session.operation->attempts } },
+            { "config_version", configVersion_ }, { "topology_index", topologyIndex_ } });
+    CallerAnswer answer;
+    answer.code = code;
+    answer.detail = std::string(reason) + ", come back in " + std::to_string(milliseconds) + " ms";
+    finish(now, session, std::move(answer));
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/proxy/timers.cpp
@@ -0,0 +1,177 @@
+// What happens because time passes.
+#include "daisyrelay/proxy/proxycore.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+void ProxyCore::tick(Instant now)
+{
+    checkOperations(now);
+    checkConnections(now);
+    constexpr Duration IdleCheck = std::chrono::milliseconds(100);
+    if (now - checkedIdleAt_ >= IdleCheck) {
+        checkedIdleAt_ = now;
+        checkIdleTransactions(now);
+        advanceDrain(now);
+    }
+    keepSamples(now);
+    for (auto &[id, service] : services_) {
+        if (!service.waiting.empty()) {
+            dispatch(now, id);
+        }
+    }
+}
+
+void ProxyCore::checkOperations(Instant now)
+{
+    const std::vector<SessionId> active(active_.begin(), active_.end());
+    for (const SessionId id : active) {
+        Session *session = find(id);
+        if (session == nullptr || !session->operation) {
+            continue;
+        }
+        PendingStatement &operation = *session->operation;
+        if (now >= operation.deadline) {
+            if (operation.connection == 0) {
+                refuse(now, *session, operation.lastRefusal, "deadline", timing_.longestBackoff / 4);
+            } else {
+                // The connection finishes by itself; its answer has nobody to go to.
+                operation.attempts = timing_.mostAttempts;
+                loseAnswer(now, *session, "timed-out");
+            }
+        } else if (operation.connection != 0) {
+            hedge(now, *session);
+        } else if (operation.role == PendingStatement::Role::Next && now >= operation.retryAt) {
+            enqueue(now, *session);
+        }
+    }
+}
+
+// Gives a read that stays without an answer to another server or connection. The first one is left alone: it may only
+// be slow, and its answer is dropped.
+void ProxyCore::hedge(Instant now, Session &session)
+{
+    PendingStatement &operation = *session.operation;
+    const auto at = connections_.find(operation.connection);
+    if (at == connections_.end() || operation.writes || operation.role != PendingStatement::Role::Single
+        || operation.attempts >= timing_.mostAttempts) {
+        return;
+    }
+    BackendPool &pool = *poolOf(at->second);
+    constexpr int UsualTimes = 5;
+    const Duration patience = std::max(timing_.shortestHedge, pool.meanTime() * UsualTimes) * operation.attempts;
+    if (now - operation.sentAt < patience) {
+        return;
+    }
+    const bool elsewhere = operation.needsPrimary
+        ? pool.idle() > 0 && !pool.suspect(now)
+        : std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
+              const BackendPool &other = entry.second;
+              return entry.first != pool.record().id && other.record().service == pool.record().service
+                  && !operation.tried.contains(entry.first) && other.idle() > 0 && other.usable(now);
+          });
+    if (!elsewhere) {
+        return;
+    }
+    pool.failed(now);
+    pool.find(operation.connection)->session = 0;
+    tryAgain(now, session, pool, AnswerCode::Aborted);
+    if (session.operation) {
+        session.operation->retryAt = now;
+    }
+}
+
+void ProxyCore::checkConnections(Instant now)
+{
+    std::vector<ConnectionId> expired;
+    for (auto &[id, pool] : pools_) {
+        for (auto &[connection, state] : pool.connections()) {
+            const bool waits = state.use == BackendConnection::Use::Busy || state.use == BackendConnection::Use::Opening;
+            if (waits && now > state.deadline) {
+                expired.push_back(connection);
+            }
+        }
+    }
+    for (const ConnectionId connection : expired) {
+        const auto at = connections_.find(connection);
+        if (at == connections_.end()) {
+            continue;
+        }
+        BackendPool &pool = *poolOf(at->second);
+        const bool opening = pool.find(connection)->use == BackendConnection::Use::Opening;
+        metrics_.add("connections_silent_total");
+        actions_.emplace_back(CloseBackendConnection { connection });
+        onConnectionLost(now, connection, opening ? ConnectionLoss::TimedOut : ConnectionLoss::Broken);
+    }
+}
+
+void ProxyCore::checkIdleTransactions(Instant now)
+{
+    if (transactionIdle_ == Duration::zero()) {
+        return;
+    }
+    for (auto &[id, session] : sessions_) {
+        if (!session.transaction || session.operation || session.transaction->connection == 0
+            || now - session.transaction->idleSince < transactionIdle_) {
+            continue;
+        }
+        log_.log(now, "transaction.idle",
+            { { "session", id }, { "idle_ms", now - session.transaction->idleSince },
+                { "limit_ms", transactionIdle_ } });
+        metrics_.add("transactions_idle_total");
+        CallerTransaction failed = *session.transaction;
+        rollBack(now, session);
+        failed.connection = 0;
+        failed.failed = true;
+        session.transaction = failed;
+    }
+}
+
+// Keeps one connection to each server warm, and a recent position of each primary.
+void ProxyCore::keepSamples(Instant now)
+{
+    if (drainSince_ && sessions_.empty()) {
+        return;
+    }
+    for (auto &[id, pool] : pools_) {
+        if (pool.connections().empty() && pool.mayOpen(now)) {
+            BackendConnection &connection = pool.open(now, nextConnection_++);
+            connections_[connection.id] = id;
+            metrics_.add("connections_opened_total");
+            actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout });
+        }
+    }
+    for (auto &[id, service] : services_) {
+        const std::optional<Instant> newest = service.freshness.newest();
+        const bool due = !newest || now - *newest >= timing_.sampleInterval;
+        if (due && now - service.sampledAt >= timing_.sampleInterval / 2) {
+            sample(now, id, service);
+        }
+    }
+}
+
+void ProxyCore::advanceDrain(Instant now)
+{
+    if (!drainSince_ || now - *drainSince_ < timing_.drainNotice) {
+        return;
+    }
+    const bool last = now - *drainSince_ > grace_ - timing_.drainReserve;
+    constexpr Duration Quiet = std::chrono::milliseconds(50);
+    for (auto &[id, session] : sessions_) {
+        const bool resting = !session.operation && !session.transaction && now - session.lastActive > Quiet;
+        if (resting || (last && !session.operation)) {
+            actions_.emplace_back(CloseSession { id });
+        }
+    }
+    if (!sessions_.empty()) {
+        return;
+    }
+    for (auto &[id, pool] : pools_) {
+        while (!pool.connections().empty()) {
+            closeConnection(now, pool, pool.connections().begin()->first, ConnectionLoss::Broken);
+        }
+    }
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/proxy/topology.cpp
@@ -0,0 +1,106 @@
+// What control tells: configuration, backend servers, primaries and quotas.
+#include "daisyrelay/proxy/proxycore.h"
+
+namespace daisyrelay {
+
+ProxyCore::Service &ProxyCore::serviceOf(const ServiceId &service)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        return found->second;
+    }
+    return services_
+        .emplace(service,
+            Service { {}, false, FreshnessHistory(timing_.sampleSpacing, timing_.sampleAge), {}, {}, 0 })
+        .first->second;
+}
+
+void ProxyCore::onUpdate(Instant now, const EntryUpdate &update)
+{
+    if (update.configuration) {
+        applyConfiguration(now, *update.configuration);
+    }
+    if (update.topology) {
+        applyTopology(now, *update.topology);
+    }
+    for (const ConnectionQuota &quota : update.quotas) {
+        quotas_[quota.backend] = quota.connections;
+        if (BackendPool *pool = poolOf(quota.backend); pool != nullptr) {
+            pool->setQuota(quota.connections);
+        }
+    }
+    for (auto &[id, service] : services_) {
+        service.failingOver = false;
+    }
+    for (const ServiceId &service : update.failingOver) {
+        serviceOf(service).failingOver = true;
+    }
+    for (auto &[id, service] : services_) {
+        dispatch(now, id);
+    }
+}
+
+void ProxyCore::applyConfiguration(Instant now, const RouteConfiguration &configuration)
+{
+    if (configuration.version <= configVersion_) {
+        return;
+    }
+    log_.log(now, "config.in-force",
+        { { "version", configuration.version }, { "before", configVersion_ },
+            { "routes", std::uint64_t { configuration.routes.size() } } });
+    configVersion_ = configuration.version;
+    metrics_.set("config_version", static_cast<std::int64_t>(configVersion_));
+    transactionIdle_ = configuration.transactionIdle;
+    std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes;
+    for (const DatabaseRoute &route : configuration.routes) {
+        routes.emplace(route.database, std::make_shared<const DatabaseRoute>(route));
+        serviceOf(route.service);
+    }
+    routes_ = std::move(routes);
+}
+
+void ProxyCore::applyTopology(Instant now, const Topology &topology)
+{
+    if (topology.index <= topologyIndex_) {
+        return;
+    }
+    topologyIndex_ = topology.index;
+    std::set<BackendId> present;
+    for (const BackendRecord &record : topology.backends) {
+        present.insert(record.id);
+        if (BackendPool *pool = poolOf(record.id); pool != nullptr) {
+            pool->update(record);
+        } else {
+            BackendPool &added = pools_.emplace(record.id, BackendPool(record, timing_)).first->second;
+            added.setQuota(quotas_[record.id]);
+        }
+    }
+    for (auto at = pools_.begin(); at != pools_.end();) {
+        if (present.contains(at->first)) {
+            ++at;
+            continue;
+        }
+        log_.log(now, "backend.gone", { { "backend", std::string_view(at->first.value) }, { "index", topology.index } });
+        while (!at->second.connections().empty()) {
+            const ConnectionId connection = at->second.connections().begin()->first;
+            actions_.emplace_back(CloseBackendConnection { connection });
+            onConnectionLost(now, connection, ConnectionLoss::Broken);
+        }
+        quotas_.erase(at->first);
+        at = pools_.erase(at);
+    }
+    for (const PrimaryRecord &primary : topology.primaries) {
+        Service &service = serviceOf(primary.service);
+        if (service.primary != primary) {
+            log_.log(now, "primary.changed",
+                { { "service", std::string_view(primary.service.value) },
+                    { "backend", std::string_view(primary.backend.value) },
+                    { "before", std::string_view(service.primary.backend.value) },
+                    { "generation", primary.generation } });
+            service.primary = primary;
+            service.sampledAt = {};
+        }
+    }
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/runtime/node.cpp
@@ -0,0 +1,163 @@
+#include "daisyrelay/runtime/node.h"
+
+#include "controlnode.h"
+#include "entrynode.h"
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+namespace daisyrelay {
+
+static constexpr int ExitBadSettings = 2;
+static constexpr int ExitStartFailed = 1;
+
+namespace {
+
+/// Owns the roles of the process and its signals.
+class Node
+{
+public:
+    Node(std::string settingsFile, NodeSettings settings, PlatformHooks hooks, std::shared_ptr<LineSink> sink)
+        : settingsFile_(std::move(settingsFile))
+        , context_(std::move(settings), std::move(hooks), sink,
+              [](std::string_view line) { spdlog::log(spdlog::level::info, "{}", line); })
+        , signals_(context_.io, SIGTERM, SIGINT, SIGHUP)
+    {
+        context_.settingsNeeded = [this]() { reload("needed"); };
+        context_.finish = [this](int code) { finish(code); };
+    }
+
+    int run()
+    {
+        const NodeSettings &settings = context_.settings;
+        context_.log.log(Clock::now(), "node.start",
+            { { "name", std::string_view(settings.name) }, { "address", std::string_view(settings.id.value) },
+                { "zone", std::string_view(settings.zone.value) }, { "entry", settings.entry },
+                { "control", settings.control }, { "founding", settings.founding } });
+        if (settings.entry) {
+            roles_.push_back(std::make_unique<EntryNode>(context_));
+        }
+        if (settings.control) {
+            roles_.push_back(std::make_unique<ControlNode>(context_));
+        }
+        for (const std::unique_ptr<NodeRole> &role : roles_) {
+            if (const Expected<void> started = role->start(); !started) {
+                context_.log.log(
+                    Clock::now(), "node.failed", { { "error", std::string_view(started.error().detail) } });
+                context_.lines->writeOut();
+                return ExitStartFailed;
+            }
+        }
+        serveMetrics();
+        waitForSignal();
+        context_.io.run();
+        return code_;
+    }
+
+private:
+    void serveMetrics()
+    {
+        if (context_.settings.metricsPort == 0) {
+            return;
+        }
+        metrics_ = std::make_unique<HttpServer>(
+            context_.io, HttpServerOptions {}, [this](const HttpRequest &request, const HttpReply &reply) {
+                constexpr int NotFound = 404;
+                HttpResponse response;
+                response.contentType = "text/plain; version=0.0.4";
+                response.status = request.target == "/metrics" ? response.status : NotFound;
+                context_.metrics.set("log_lines_left_out", static_cast<std::int64_t>(context_.log.leftOut()));
+                context_.metrics.set("log_lines_dropped", static_cast<std::int64_t>(context_.lines->dropped()));
+                response.body = request.target == "/metrics" ? context_.metrics.render() : "";
+                reply(std::move(response));
+            });
+        const Expected<void> listening
+            = metrics_->listen({ context_.settings.id.value, context_.settings.metricsPort });
+        if (!listening) {
+            // Requests are worth more than their metrics.
+            context_.log.log(
+                Clock::now(), "metrics.unavailable", { { "error", std::string_view(listening.error().detail) } });
+        }
+    }
+
+    void waitForSignal()
+    {
+        signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reload("signal");
+            } else if (!draining_) {
+                draining_ = true;
+                context_.log.log(Clock::now(), "node.stop", { { "signal", std::int64_t { signal } } });
+                for (const std::unique_ptr<NodeRole> &role : roles_) {
+                    role->drain();
+                }
+            }
+            waitForSignal();
+        });
+    }
+
+    // Identity and addresses stay what they were at the start; what may change is whom to ask.
+    void reload(std::string_view reason)
+    {
+        const Expected<NodeSettings> settings = loadNodeSettings(settingsFile_);
+        context_.log.log(Clock::now(), "settings.reload",
+            { { "reason", reason }, { "ok", settings.has_value() },
+                { "error", std::string_view(settings ? "" : settings.error().detail) } });
+        if (!settings) {
+            context_.metrics.add("settings_invalid_total");
+            return;
+        }
+        context_.settings.seeds = settings->seeds;
+        context_.settings.grace = settings->grace;
+        for (const std::unique_ptr<NodeRole> &role : roles_) {
+            role->settingsChanged();
+        }
+    }
+
+    void finish(int code)
+    {
+        if (++finished_ < roles_.size()) {
+            return;
+        }
+        code_ = code;
+        context_.log.log(Clock::now(), "node.end", { { "code", std::int64_t { code } } });
+        context_.lines->writeOut();
+        // What was written to sockets and closed goes out in the next turns of the loop.
+        context_.io.stop();
+    }
+
+    std::string settingsFile_;
+    NodeContext context_;
+    boost::asio::signal_set signals_;
+    std::vector<std::unique_ptr<NodeRole>> roles_;
+    std::unique_ptr<HttpServer> metrics_;
+    bool draining_ = false;
+    std::size_t finished_ = 0;
+    int code_ = 0;
+};
+
+} // namespace
+
+int runNode(const std::string &settingsFile, PlatformHooks hooks)
+{
+    auto sink = std::make_shared<LineSink>(STDOUT_FILENO);
+    auto logger = std::make_shared<spdlog::logger>("daisyrelay", sink);
+    spdlog::set_default_logger(logger);
+    std::signal(SIGPIPE, SIG_IGN);
+    Expected<NodeSettings> settings = loadNodeSettings(settingsFile);
+    if (!settings) {
+        spdlog::error("event=node.failed error=\"{}\"", settings.error().detail);
+        sink->writeOut();
+        return ExitBadSettings;
+    }
+    Node node(settingsFile, std::move(*settings), std::move(hooks), sink);
+    return node.run();
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/supervision/supervisionstate.cpp
@@ -0,0 +1,183 @@
+#include "daisyrelay/supervision/supervisionstate.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+/// Lives that are over and still remembered, so that a late heartbeat brings none back.
+static constexpr std::size_t MostGone = 256;
+
+bool SupervisionState::apply(std::uint64_t index, const SupervisionCommand &command)
+{
+    return std::visit([this, index](const auto &one) { return applyCommand(index, one); }, command);
+}
+
+bool SupervisionState::applyCommand(std::uint64_t /*index*/, const PutConfiguration &command)
+{
+    if (command.configuration.version <= configuration_.version) {
+        return false;
+    }
+    configuration_ = command.configuration;
+    configurationSource_ = command.source;
+    return true;
+}
+
+bool SupervisionState::applyCommand(std::uint64_t index, const RecordBackend &command)
+{
+    BackendRecord record = command.record;
+    if (isOutdated(record)) {
+        return false;
+    }
+    const auto known = backends_.find(record.id);
+    if (known != backends_.end() && known->second.bornMs == record.bornMs) {
+        // A backend server that began to drain does not come back in the same life.
+        record.draining = record.draining || known->second.draining;
+        if (record == known->second) {
+            return false;
+        }
+    }
+    // An address has one tenant; whoever had it before is gone.
+    for (auto at = backends_.begin(); at != backends_.end();) {
+        const BackendRecord &other = at->second;
+        if (other.id != record.id && other.host == record.host && other.port == record.port) {
+            remember(other);
+            at = backends_.erase(at);
+        } else {
+            ++at;
+        }
+    }
+    backends_[record.id] = record;
+    topologyIndex_ = index;
+    return true;
+}
+
+bool SupervisionState::applyCommand(std::uint64_t index, const RemoveBackend &command)
+{
+    const auto found = backends_.find(command.backend);
+    if (found == backends_.end() || (command.bornMs != 0 && found->second.bornMs > command.bornMs)) {
+        return false;
+    }
+    remember(found->second);
+    backends_.erase(found);
+    topologyIndex_ = index;
+    return true;
+}
+
+bool SupervisionState::applyCommand(std::uint64_t /*index*/, const DecidePromotion & /*command*/)
+{
+    return false;
+}
+
+bool SupervisionState::applyCommand(std::uint64_t index, const RecordPrimary &command)
+{
+    PrimaryRecord &primary = primaries_[command.service];
+    if (primary.backend == command.backend) {
+        return false;
+    }
+    primary = { command.service, command.backend, index };
+    topologyIndex_ = index;
+    return true;
+}
+
+void SupervisionState::remember(const BackendRecord &gone)
+{
+    gone_.push_back(gone);
+    if (gone_.size() > MostGone) {
+        gone_.pop_front();
+    }
+}
+
+bool SupervisionState::isOutdated(const BackendRecord &record) const
+{
+    const bool ended = std::any_of(gone_.begin(), gone_.end(),
+        [&record](const BackendRecord &gone) { return gone.id == record.id && gone.bornMs >= record.bornMs; });
+    return ended || std::any_of(backends_.begin(), backends_.end(), [&record](const auto &entry) {
+        const BackendRecord &other = entry.second;
+        const bool sameAddress = other.host == record.host && other.port == record.port;
+        return other.id == record.id ? other.bornMs > record.bornMs : sameAddress && other.bornMs > record.bornMs;
+    });
+}
+
+const RouteConfiguration &SupervisionState::configuration() const
+{
+    return configuration_;
+}
+
+const std::string &SupervisionState::configurationSource() const
+{
+    return configurationSource_;
+}
+
+const std::map<BackendId, BackendRecord> &SupervisionState::backends() const
+{
+    return backends_;
+}
+
+const std::map<ServiceId, PrimaryRecord> &SupervisionState::primaries() const
+{
+    return primaries_;
+}
+
+const BackendRecord *SupervisionState::find(const BackendId &backend) const
+{
+    const auto found = backends_.find(backend);
+    return found == backends_.end() ? nullptr : &found->second;
+}
+
+const PrimaryRecord *SupervisionState::primaryOf(const ServiceId &service) const
+{
+    const auto found = primaries_.find(service);
+    return found == primaries_.end() ? nullptr : &found->second;
+}
+
+const ServiceLimits *SupervisionState::limitsOf(const ServiceId &service) const
+{
+    const auto found = std::find_if(configuration_.services.begin(), configuration_.services.end(),
+        [&service](const ServiceLimits &limits) { return limits.service == service; });
+    return found == configuration_.services.end() ? nullptr : &*found;
+}
+
+Topology SupervisionState::topology() const
+{
+    Topology topology;
+    topology.index = topologyIndex_;
+    for (const auto &[id, record] : backends_) {
+        topology.backends.push_back(record);
+    }
+    for (const auto &[service, primary] : primaries_) {
+        topology.primaries.push_back(primary);
+    }
+    return topology;
+}
+
+std::string SupervisionState::encode() const
+{
+    SupervisionSnapshot snapshot { configuration_, configurationSource_, topologyIndex_, {}, {}, {} };
+    const Topology current = topology();
+    snapshot.backends = current.backends;
+    snapshot.primaries = current.primaries;
+    snapshot.gone.assign(gone_.begin(), gone_.end());
+    return encodeSupervisionSnapshot(snapshot);
+}
+
+Expected<SupervisionState> SupervisionState::decode(std::string_view bytes)
+{
+    Expected<SupervisionSnapshot> snapshot = decodeSupervisionSnapshot(bytes);
+    if (!snapshot) {
+        return tl::unexpected(snapshot.error());
+    }
+    SupervisionState state;
+    state.configuration_ = std::move(snapshot->configuration);
+    state.configurationSource_ = std::move(snapshot->configurationSource);
+    state.topologyIndex_ = snapshot->topologyIndex;
+    for (BackendRecord &record : snapshot->backends) {
+        state.backends_.emplace(record.id, std::move(record));
+    }
+    for (PrimaryRecord &primary : snapshot->primaries) {
+        state.primaries_.emplace(primary.service, std::move(primary));
+    }
+    state.gone_.assign(snapshot->gone.begin(), snapshot->gone.end());
+    return state;
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/supervision/supervisor.cpp
@@ -0,0 +1,241 @@
+#include "daisyrelay/supervision/supervisor.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+Supervisor::Supervisor(EventLog &log, Metrics &metrics, std::uint64_t firstId, SupervisionTiming timing)
+    : log_(log), metrics_(metrics), timing_(timing), entries_(timing), nextId_(firstId)
+{
+}
+
+void Supervisor::onLeadership(Instant now, bool leading, Term term, std::vector<VmId> controlVms)
+{
+    controlVms_ = std::move(controlVms);
+    if (leading == leading_ && (!leading || term == term_)) {
+        return;
+    }
+    const bool sameTerm = term == term_;
+    leading_ = leading;
+    term_ = term;
+    log_.log(now, leading ? "control.leads" : "control.yields",
+        { { "term", term }, { "config_version", state_.configuration().version } });
+    if (!leading) {
+        refuseWaiting();
+        return;
+    }
+    metrics_.add("leaderships_total");
+    if (!sameTerm) {
+        leadsSince_ = now;
+    }
+    // Whoever led in between may have granted and promoted, so nothing of before counts.
+    entries_.reset(now);
+    heardAt_.clear();
+    heardLast_.clear();
+    watches_.clear();
+    removing_.clear();
+    leadsSince_ = now;
+}
+
+WatchContext Supervisor::context()
+{
+    return { state_, entries_, heardAt_, log_, [this]() { return nextId_++; },
+        [this](SupervisionAction action) { actions_.push_back(std::move(action)); } };
+}
+
+void Supervisor::propose(SupervisionCommand command)
+{
+    actions_.emplace_back(ProposeSupervision { std::move(command) });
+}
+
+void Supervisor::onCommitted(Instant now, const LogEntry &entry)
+{
+    const Expected<SupervisionCommand> command = decodeSupervisionCommand(entry.command);
+    if (!command) {
+        metrics_.add("commands_unreadable_total");
+        log_.log(now, "command.unreadable",
+            { { "index", entry.index }, { "error", std::string_view(command.error().detail) } });
+        return;
+    }
+    const bool changed = state_.apply(entry.index, *command);
+    if (changed) {
+        logCommand(now, *command, entry.index);
+    }
+    if (!leading_) {
+        return;
+    }
+    if (const auto *decision = std::get_if<DecidePromotion>(&*command); decision != nullptr && entry.term == term_) {
+        if (const auto watch = watches_.find(decision->service); watch != watches_.end()) {
+            watch->second.onDecided(now, *decision, entry.index, context());
+        }
+    }
+    answerWaiting(now);
+    if (changed) {
+        pushAll(now);
+    }
+}
+
+void Supervisor::logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index)
+{
+    if (const auto *change = std::get_if<PutConfiguration>(&command); change != nullptr) {
+        log_.log(now, "config.accepted",
+            { { "version", change->configuration.version }, { "index", index },
+                { "routes", std::uint64_t { change->configuration.routes.size() } } });
+    } else if (const auto *record = std::get_if<RecordBackend>(&command); record != nullptr) {
+        log_.log(now, "backend.recorded",
+            { { "backend", std::string_view(record->record.id.value) }, { "index", index },
+                { "service", std::string_view(record->record.service.value) },
+                { "zone", std::string_view(record->record.zone.value) }, { "draining", record->record.draining },
+                { "claims_primary", record->record.claimsPrimary } });
+    } else if (const auto *removal = std::get_if<RemoveBackend>(&command); removal != nullptr) {
+        log_.log(now, "backend.removed",
+            { { "backend", std::string_view(removal->backend.value) }, { "index", index } });
+    } else if (const auto *primary = std::get_if<RecordPrimary>(&command); primary != nullptr) {
+        log_.log(now, "primary.recorded",
+            { { "service", std::string_view(primary->service.value) },
+                { "backend", std::string_view(primary->backend.value) }, { "generation", index } });
+    }
+}
+
+Expected<void> Supervisor::restore(std::string_view bytes)
+{
+    Expected<SupervisionState> state = SupervisionState::decode(bytes);
+    if (!state) {
+        return tl::unexpected(state.error());
+    }
+    state_ = std::move(*state);
+    return {};
+}
+
+std::string Supervisor::snapshot() const
+{
+    return state_.encode();
+}
+
+void Supervisor::onReport(Instant now, const VmId &entry, const EntryReport &report)
+{
+    if (!entries_.sessions().contains(entry)) {
+        log_.log(now, "entry.joined",
+            { { "entry", std::string_view(entry.value) }, { "name", std::string_view(report.name) },
+                { "config_version", report.configVersion } });
+    }
+    if (!entries_.report(now, entry, report)) {
+        metrics_.add("reports_outdated_total");
+        return;
+    }
+    push(now, entry, true);
+}
+
+void Supervisor::onProbe(Instant now, const ProbeOutcome &outcome)
+{
+    for (auto &[service, watch] : watches_) {
+        if (watch.onProbe(now, outcome, context())) {
+            return;
+        }
+    }
+}
+
+void Supervisor::onPromotion(Instant now, const ServiceId &service, std::uint64_t token, PromotionOutcome outcome)
+{
+    metrics_.add("promotion_calls_total");
+    if (const auto watch = watches_.find(service); leading_ && watch != watches_.end()) {
+        watch->second.onPromotion(now, token, outcome, context());
+    }
+}
+
+void Supervisor::tick(Instant now)
+{
+    if (!leading_) {
+        return;
+    }
+    entries_.expire(now);
+    forgetSilentBackends(now);
+    for (const auto &[id, backend] : state_.backends()) {
+        watches_.try_emplace(backend.service, now, backend.service, timing_);
+    }
+    bool replacing = false;
+    for (auto &[service, watch] : watches_) {
+        const bool before = watch.isReplacing();
+        watch.tick(now, context());
+        replacing = replacing || before != watch.isReplacing();
+    }
+    if (replacing) {
+        pushAll(now);
+    }
+    answerWaiting(now);
+}
+
+void Supervisor::forgetSilentBackends(Instant now)
+{
+    if (now - leadsSince_ < timing_.backendGone) {
+        return;
+    }
+    for (const auto &[id, backend] : state_.backends()) {
+        const auto heard = heardAt_.find(id);
+        const bool silent = heard == heardAt_.end() || now - heard->second > timing_.backendGone;
+        if (silent && now - removing_[id] > timing_.changeWait) {
+            removing_[id] = now;
+            propose(RemoveBackend { id, backend.bornMs });
+        }
+    }
+}
+
+void Supervisor::pushAll(Instant now)
+{
+    for (const auto &[entry, session] : entries_.sessions()) {
+        push(now, entry, false);
+    }
+}
+
+void Supervisor::push(Instant now, const VmId &entry, bool always)
+{
+    ReportedEntry &session = entries_.sessions().at(entry);
+    EntryUpdate update;
+    update.leaderTerm = term_;
+    update.sequence = session.report.sequence;
+    update.configVersion = state_.configuration().version;
+    const bool resendConfig = now - session.configSentAt > timing_.pushRetry;
+    const bool confirmed = session.report.configVersion >= session.configSent;
+    // One configuration at a time is on its way to an entry, so that many changes in a row cost it only the newest.
+    if (session.report.configVersion < update.configVersion && (resendConfig || confirmed)) {
+        update.configuration = state_.configuration();
+        session.configSent = update.configVersion;
+        session.configSentAt = now;
+    }
+    const Topology topology = state_.topology();
+    const bool resendTopology = now - session.topologySentAt > timing_.pushRetry;
+    if (session.report.topologyIndex < topology.index && (resendTopology || session.topologySent < topology.index)) {
+        update.topology = topology;
+        session.topologySent = topology.index;
+        session.topologySentAt = now;
+    }
+    if (always) {
+        update.quotas = entries_.grant(now, entry, state_);
+        update.controlVms = controlVms_;
+    }
+    for (const auto &[service, watch] : watches_) {
+        if (watch.isReplacing()) {
+            update.failingOver.push_back(service);
+        }
+    }
+    update.reportIntervalMs = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(entries_.reportInterval()).count());
+    actions_.emplace_back(SendEntryUpdate { entry, std::move(update) });
+}
+
+std::vector<SupervisionAction> Supervisor::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+const SupervisionState &Supervisor::state() const
+{
+    return state_;
+}
+
+bool Supervisor::leading() const
+{
+    return leading_;
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/lib/wire/clustercodec.cpp
@@ -0,0 +1,40 @@
+#include "daisyrelay/wire/clustermessages.h"
+#include "daisyrelay/wire/supervisionsnapshot.h"
+
+#include "daisyrelay/wire/codec.h"
+
+#include "archive.h"
+
+namespace daisyrelay {
+
+std::string encodeClusterMessage(const ClusterMessage &message)
+{
+    return encodeValue(message);
+}
+
+Expected<ClusterMessage> decodeClusterMessage(std::string_view bytes)
+{
+    return decodeValue<ClusterMessage>(bytes, LargestPeerMessage);
+}
+
+std::string encodeSupervisionCommand(const SupervisionCommand &command)
+{
+    return encodeValue(command);
+}
+
+Expected<SupervisionCommand> decodeSupervisionCommand(std::string_view bytes)
+{
+    return decodeValue<SupervisionCommand>(bytes, LargestPeerMessage);
+}
+
+std::string encodeSupervisionSnapshot(const SupervisionSnapshot &snapshot)
+{
+    return encodeValue(snapshot);
+}
+
+Expected<SupervisionSnapshot> decodeSupervisionSnapshot(std::string_view bytes)
+{
+    return decodeValue<SupervisionSnapshot>(bytes, LargestStoredValue);
+}
+
+} // namespace daisyrelay
--- /dev/null
+++ b/tools/daisyrelay-node/main.cpp
@@ -0,0 +1,28 @@
+// The daemon on the users' platform: one process, one thread, an entry or a control VM as its settings say.
+#include "platform/platform.h"
+
+#include <cstdlib>
+#include <iostream>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "Settings file (YAML); without it, the file that DAISYRELAY_CONFIG names");
+DEFINE_bool(check, false, "Only check the settings file");
+
+int main(int argc, char **argv)
+{
+    constexpr int ExitBadSettings = 2;
+    gflags::SetUsageMessage("daisyrelay-node [--settings FILE] [--check]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const char *named = std::getenv("DAISYRELAY_CONFIG");
+    const std::string file = !FLAGS_settings.empty() || named == nullptr ? FLAGS_settings : named;
+    if (!FLAGS_check) {
+        return daisyrelay::runNode(file, daisyrelay::platform::platformHooks());
+    }
+    const daisyrelay::Expected<daisyrelay::NodeSettings> settings = daisyrelay::loadNodeSettings(file);
+    if (!settings) {
+        std::cerr << "daisyrelay-node: " << settings.error().detail << "\n";
+        return ExitBadSettings;
+    }
+    return 0;
+}
