Send a statement behind a BEGIN only once that has succeeded

Ruled out: a fault of the adapter (the wire showed the refused BEGIN first). Now the statement follows the accepted BEGIN, for one more round trip within the zone.

--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -36,7 +36,8 @@
     std::map<std::string, std::string> values;
     std::set<std::string> prepared;
     std::vector<StatementType> sent; ///< The statements of the exchange.
-    std::size_t payload = 0; ///< Which of them is the caller's.
+    std::size_t payload = 0; ///< Which of them is the caller's, or the BEGIN before it.
+    bool beginning = false; ///< Whether the exchange only begins; the statement follows once that has succeeded.
     bool guarded = false; ///< Whether the exchange proves that the server leads.
     std::uint64_t generation = 0; ///< Of the primary at the time of sending.
 };
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -103,6 +103,9 @@
     // exchanges.cpp
     void send(Instant now, Session &session, BackendPool &pool, BackendConnection &connection,
         std::optional<LogPoint> since);
+    void sendBehindBegin(Instant now, Session &session, BackendConnection &connection);
+    void start(Instant now, BackendConnection &connection, RunExchange exchange);
+    Statement payloadOf(const Session &session);
     void appendSessionState(
         const Session &session, const PendingStatement &operation, BackendConnection &connection, std::vector<Statement> &out);
     const std::string &preparedName(const PreparedStatement &statement);
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -62,52 +62,72 @@
     }
 }
 
+// A BEGIN that is refused leaves the connection outside a transaction, where a statement behind it would run. So the
+// statement is sent only when the BEGIN has succeeded.
 void ProxyCore::send(
     Instant now, Session &session, BackendPool &pool, BackendConnection &connection, std::optional<LogPoint> since)
 {
     PendingStatement &operation = *session.operation;
     dequeue(session);
     const Service &service = serviceOf(operation.route->service);
-    RunExchange exchange { connection.id, {} };
-    appendSessionState(session, operation, connection, exchange.statements);
-    Statement payload = operation.statement;
-    if (payload.kind == StatementType::Execute) {
-        payload.name = preparedName(session.prepared.at(payload.name));
-    }
-    connection.guarded = operation.writes || (session.transaction && !session.transaction->readOnly);
     const bool single = operation.role == PendingStatement::Role::Single;
     const bool guardedRead = single && !operation.writes && !since;
-    if (operation.role == PendingStatement::Role::First) {
+    RunExchange exchange { connection.id, {} };
+    appendSessionState(session, operation, connection, exchange.statements);
+    connection.beginning = operation.role == PendingStatement::Role::First || guardedRead;
+    connection.payload = exchange.statements.size();
+    if (connection.beginning) {
         // A read-only BEGIN is no proof of leadership, so it serves only together with a position.
         Statement opening = own(since ? StatementType::BeginReadOnly : StatementType::Begin);
         opening.since = since;
         exchange.statements.push_back(std::move(opening));
         connection.guarded = !since;
-    } else if (guardedRead) {
-        exchange.statements.push_back(own(StatementType::Begin));
-        connection.guarded = true;
-    } else if (single && !operation.writes) {
+    } else {
+        Statement payload = payloadOf(session);
         payload.since = since;
+        exchange.statements.push_back(std::move(payload));
+        connection.guarded = operation.writes || (session.transaction && !session.transaction->readOnly);
     }
-    connection.payload = exchange.statements.size();
-    exchange.statements.push_back(std::move(payload));
-    if (guardedRead) {
-        exchange.statements.push_back(own(StatementType::Rollback));
-    }
-    connection.sent.clear();
-    for (const Statement &statement : exchange.statements) {
-        connection.sent.push_back(statement.kind);
-    }
-    connection.use = BackendConnection::Use::Busy;
     connection.purpose = BackendConnection::Purpose::Statement;
     connection.session = session.id;
-    connection.since = now;
     connection.deadline = std::max(operation.deadline, now + timing_.suspicion);
     connection.generation = pool.record().id == service.primary.backend ? service.primary.generation : 0;
     operation.connection = connection.id;
     operation.sentAt = now;
     operation.offered = true;
     ++operation.attempts;
+    start(now, connection, std::move(exchange));
+}
+
+// The second half of what begins: the statement itself, and for a single read the end of its transaction.
+void ProxyCore::sendBehindBegin(Instant now, Session &session, BackendConnection &connection)
+{
+    RunExchange exchange { connection.id, { payloadOf(session) } };
+    if (session.operation->role == PendingStatement::Role::Single) {
+        exchange.statements.push_back(own(StatementType::Rollback));
+    }
+    connection.beginning = false;
+    connection.payload = 0;
+    start(now, connection, std::move(exchange));
+}
+
+Statement ProxyCore::payloadOf(const Session &session)
+{
+    Statement payload = session.operation->statement;
+    if (payload.kind == StatementType::Execute) {
+        payload.name = preparedName(session.prepared.at(payload.name));
+    }
+    return payload;
+}
+
+void ProxyCore::start(Instant now, BackendConnection &connection, RunExchange exchange)
+{
+    connection.use = BackendConnection::Use::Busy;
+    connection.since = now;
+    connection.sent.clear();
+    for (const Statement &statement : exchange.statements) {
+        connection.sent.push_back(statement.kind);
+    }
     actions_.emplace_back(std::move(exchange));
 }
 
@@ -119,29 +139,25 @@
         return;
     }
     service.sampledAt = now;
-    connection->use = BackendConnection::Use::Busy;
     connection->purpose = BackendConnection::Purpose::Sample;
-    connection->since = now;
     connection->deadline = now + timing_.connectTimeout;
     connection->session = 0;
     connection->generation = service.primary.generation;
     connection->guarded = true;
+    connection->beginning = false;
     connection->payload = 0;
-    connection->sent = { StatementType::Begin, StatementType::Rollback };
     metrics_.add("positions_asked_total");
-    actions_.emplace_back(RunExchange { connection->id, { own(StatementType::Begin), own(StatementType::Rollback) } });
+    start(now, *connection, { connection->id, { own(StatementType::Begin), own(StatementType::Rollback) } });
 }
 
 void ProxyCore::cleanUp(Instant now, BackendPool & /*pool*/, BackendConnection &connection)
 {
-    connection.use = BackendConnection::Use::Busy;
     connection.purpose = BackendConnection::Purpose::Cleanup;
     connection.session = 0;
-    connection.since = now;
     connection.deadline = now + timing_.connectTimeout;
     connection.guarded = false;
-    connection.sent = { StatementType::Rollback };
-    actions_.emplace_back(RunExchange { connection.id, { own(StatementType::Rollback) } });
+    connection.beginning = false;
+    start(now, connection, { connection.id, { own(StatementType::Rollback) } });
 }
 
 void ProxyCore::release(Instant now, BackendPool &pool, BackendConnection &connection)
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -84,7 +84,7 @@
         return;
     }
     const bool statement = connection.purpose == BackendConnection::Purpose::Statement;
-    pool.answered(now, connection.since, statement && answers[connection.payload].code == AnswerCode::Ok);
+    pool.answered(now, connection.since, statement && !connection.beginning && answers[connection.payload].code == AnswerCode::Ok);
     const TransactionState state = answers.back().state;
     if (statement) {
         onPayload(now, pool, connection, answers);
@@ -115,16 +115,17 @@
     const TransactionState state = answers.back().state;
     Session *session = find(connection.session);
     BackendAnswer &answer = answers[connection.payload];
-    // A guard that was refused kept the statement from running.
-    for (std::size_t at = 0; at < connection.payload; ++at) {
-        const bool guard
-            = connection.sent[at] == StatementType::Begin || connection.sent[at] == StatementType::BeginReadOnly;
-        if (guard && answers[at].code != AnswerCode::Ok) {
-            answer.code = answers[at].code == AnswerCode::BadMessage ? AnswerCode::Busy : answers[at].code;
-            answer.detail = answers[at].detail;
-        } else if (guard && connection.guarded) {
-            learnPosition(pool, connection, answers[at]);
+    const bool current = session != nullptr && session->operation && session->operation->connection == id;
+    if (connection.beginning && answer.code == AnswerCode::Ok) {
+        if (connection.guarded) {
+            learnPosition(pool, connection, answer);
+        }
+        if (current) {
+            sendBehindBegin(now, *session, connection);
+        } else {
+            cleanUp(now, pool, connection);
         }
+        return;
     }
     if (answer.code == AnswerCode::Ok && answer.proof.empty()) {
         // The answer of another statement in its place: one was lost on the way.
@@ -139,7 +140,6 @@
     if (answer.code == AnswerCode::Ok && connection.guarded) {
         learnPosition(pool, connection, answer);
     }
-    const bool current = session != nullptr && session->operation && session->operation->connection == id;
     if (!current) {
         if (state == TransactionState::Idle) {
             release(now, pool, connection);
