Keep each entry's share of connections free for it

Cause: after a restart of all VMs the entry that reported first, with many statements waiting, was granted all free connections of each backend server; five of six entries had none, and their statements waited for their deadline (request.refused reason=deadline attempts=0). Ruled out: configuration and topology (in force 100 ms after the start). An entry that has not asked yet now counts with its share, and one that holds more is asked to let go. Tests: EntryRegistry.

--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -50,7 +50,8 @@
     [[nodiscard]] Duration reportInterval() const;
 
 private:
-    [[nodiscard]] std::uint32_t counted(const BackendId &backend) const;
+    [[nodiscard]] std::uint32_t spokenFor(
+        const VmId &except, const BackendId &backend, std::uint32_t share) const;
 
     SupervisionTiming timing_;
     Instant since_ {};
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -24,7 +24,7 @@
     Duration backendGone = std::chrono::seconds(30); ///< A backend server silent for longer is forgotten.
     Duration entrySilence = std::chrono::milliseconds(1500); ///< The word of an entry silent for longer does not count.
     Duration entryGone = std::chrono::seconds(10); ///< Its connections are given to others after this.
-    Duration quotaDelay = std::chrono::milliseconds(1500); ///< A new leader hears all entries before it grants.
+    Duration quotaDelay = std::chrono::milliseconds(700); ///< A new leader hears all entries before it grants.
     Duration pushRetry = std::chrono::milliseconds(1000); ///< What an entry did not confirm is sent again after this.
     Duration reportInterval = std::chrono::milliseconds(200); ///< Of each entry, while there are few.
     Duration reportCost = std::chrono::milliseconds(15); ///< With many entries, one report in this time altogether.
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -39,12 +39,14 @@
         sessions_, [this, now](const auto &session) { return now - session.second.heardAt > timing_.entryGone; });
 }
 
-std::uint32_t EntryRegistry::counted(const BackendId &backend) const
+// An entry that has not asked yet still has its share, so that those who come first can not take it.
+std::uint32_t EntryRegistry::spokenFor(const VmId &except, const BackendId &backend, std::uint32_t share) const
 {
     std::uint32_t sum = 0;
     for (const auto &[vm, session] : sessions_) {
-        if (const auto found = session.granted.find(backend); found != session.granted.end()) {
-            sum += found->second;
+        if (vm != except) {
+            const auto found = session.granted.find(backend);
+            sum += std::max(share, found == session.granted.end() ? 0 : found->second);
         }
     }
     return sum;
@@ -71,7 +73,7 @@
         const std::uint32_t wanted = wish == session.report.wanted.end() ? 0 : wish->connections;
         const std::uint32_t target = std::max(share, wanted);
         std::uint32_t &granted = session.granted[id];
-        const std::uint32_t others = counted(id) - granted;
+        const std::uint32_t others = spokenFor(entry, id, share);
         const std::uint32_t free = usable > others ? usable - others : 0;
         const std::uint32_t allowed = std::min(target, free);
         if (allowed == granted) {
--- /dev/null
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -0,0 +1,87 @@
+// The division of connections among entries: who comes first, who asks for more, who is gone.
+#include "daisyrelay/supervision.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+TEST_GROUP(EntryRegistry)
+{
+    Instant now { 100s };
+    EntryRegistry registry { SupervisionTiming {} };
+    SupervisionState state;
+    std::uint64_t sequence = 0;
+
+    void setup() override
+    {
+        RouteConfiguration configuration;
+        configuration.version = 1;
+        configuration.services.push_back({ ServiceId { "s" }, 16, 0 });
+        state.apply(1, PutConfiguration { configuration, "" });
+        state.apply(2, RecordBackend { { BackendId { "b" }, 1, ServiceId { "s" }, "10.0.0.1", 80, {}, 2, false, true } });
+        registry.reset(now);
+        now += 2s;
+    }
+
+    void report(const std::string &entry, std::uint32_t held, std::uint32_t wanted)
+    {
+        EntryReport report;
+        report.run = 1;
+        report.sequence = ++sequence;
+        report.held.push_back({ BackendId { "b" }, held });
+        report.wanted.push_back({ BackendId { "b" }, wanted });
+        registry.report(now, VmId { entry }, report);
+    }
+
+    /// Returns the quota that the entry is told, or \p held if none is.
+    std::uint32_t grant(const std::string &entry, std::uint32_t held)
+    {
+        const std::vector<ConnectionQuota> changes = registry.grant(now, VmId { entry }, state);
+        return changes.empty() ? held : changes.front().connections;
+    }
+};
+
+TEST(EntryRegistry, AnEntryThatAsksFirstLeavesTheOthersTheirShares)
+{
+    for (const char *entry : { "a", "b", "c", "d", "e", "f" }) {
+        report(entry, 0, 20);
+    }
+    std::uint32_t sum = 0;
+    for (const char *entry : { "a", "b", "c", "d", "e", "f" }) {
+        const std::uint32_t granted = grant(entry, 0);
+        CHECK(granted >= 2);
+        sum += granted;
+    }
+    CHECK(sum <= 16 - ReservedConnections);
+}
+
+TEST(EntryRegistry, AnEntryThatHoldsTooMuchIsAskedToLetGoAndCountsUntilItHas)
+{
+    report("a", 14, 20);
+    report("b", 0, 5);
+    CHECK_EQUAL(7U, grant("a", 14));
+    CHECK_EQUAL(0U, grant("b", 0)); // The other one may still use all of them.
+    report("a", 7, 20);
+    CHECK_EQUAL(7U, grant("b", 0));
+}
+
+TEST(EntryRegistry, ConnectionsOfAnEntryThatIsGoneAreGivenToOthers)
+{
+    report("a", 7, 0);
+    report("b", 7, 14);
+    CHECK_EQUAL(7U, grant("b", 7));
+    now += 11s;
+    report("b", 7, 14);
+    registry.expire(now);
+    CHECK_EQUAL(14U, grant("b", 7));
+}
+
+TEST(EntryRegistry, NothingIsGrantedBeforeAllHaveHadTimeToReport)
+{
+    registry.reset(now);
+    report("a", 0, 14);
+    CHECK_EQUAL(0U, grant("a", 0));
+}
--- /dev/null
+++ b/unittests/telemetry/eventlogtest.cpp
@@ -0,0 +1,69 @@
+// Log lines stay within their budget and keep their form, whatever callers put into them.
+#include "daisyrelay/telemetry.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+TEST_GROUP(EventLog)
+{
+    Instant now { 100s };
+    std::vector<std::string> lines;
+    EventLog log { [this](std::string_view line) { lines.emplace_back(line); }, 3 };
+};
+
+TEST(EventLog, ABurstIsCutToItsBudgetAndCounted)
+{
+    for (int at = 0; at < 10; ++at) {
+        log.log(now, "request.failed", { { "n", std::int64_t { at } } });
+    }
+    CHECK_EQUAL(3U, lines.size());
+    now += 1s;
+    log.log(now, "request.failed", { { "n", std::int64_t { 10 } } });
+    CHECK_EQUAL(std::string("t_ms=101000 event=request.failed n=10 left_out=7"), lines.back());
+    CHECK_EQUAL(7U, log.leftOut());
+}
+
+TEST(EventLog, ABurstOfOneEventLeavesTheOthersTheirBudget)
+{
+    for (int at = 0; at < 10; ++at) {
+        log.log(now, "a", {});
+    }
+    log.log(now, "b", {});
+    CHECK_EQUAL(std::string("t_ms=100000 event=b"), lines.back());
+}
+
+TEST(EventLog, AValueCanNotStartALine)
+{
+    log.log(now, "a", { { "text", std::string_view("x\nevent=forged \"y\"") }, { "took_ms", Duration(1500us) } });
+    CHECK_EQUAL(std::string("t_ms=100000 event=a text=\"x?event=forged \\\"y\\\"\" took_ms=1"), lines.back());
+}
+
+TEST_GROUP(Metrics) {};
+
+TEST(Metrics, HistogramsAreCumulative)
+{
+    Metrics metrics;
+    metrics.observe("wait_seconds", "outcome=\"ok\"", 1ms);
+    metrics.observe("wait_seconds", "outcome=\"ok\"", 3ms);
+    metrics.observe("wait_seconds", "outcome=\"ok\"", 1h);
+    const std::string text = metrics.render();
+    CHECK(text.find("daisyrelay_wait_seconds_bucket{outcome=\"ok\",le=\"0.001000\"} 1\n") != std::string::npos);
+    CHECK(text.find("daisyrelay_wait_seconds_bucket{outcome=\"ok\",le=\"0.004000\"} 2\n") != std::string::npos);
+    CHECK(text.find("daisyrelay_wait_seconds_bucket{outcome=\"ok\",le=\"+Inf\"} 3\n") != std::string::npos);
+    CHECK(text.find("daisyrelay_wait_seconds_count{outcome=\"ok\"} 3\n") != std::string::npos);
+}
+
+TEST(Metrics, CountersAndGaugesAreRendered)
+{
+    Metrics metrics;
+    metrics.add("refused_total{reason=\"deadline\"}");
+    metrics.add("refused_total{reason=\"deadline\"}", 2);
+    metrics.set("config_version", 7);
+    const std::string text = metrics.render();
+    CHECK(text.find("daisyrelay_refused_total{reason=\"deadline\"} 3\n") != std::string::npos);
+    CHECK(text.find("daisyrelay_config_version 7\n") != std::string::npos);
+}
