Refuse what nobody can run within its latency target

Now: a BEGIN without an answer after 120 ms is given up (nothing ran), a silent server's statements after 250 ms, waiting ones after their target, and an outage known for 1.5 s is refused at once.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -126,6 +126,7 @@
 
     // timers.cpp
     void checkOperations(Instant now);
+    void checkRunning(Instant now, Session &session);
     void checkConnections(Instant now);
     void hedge(Instant now, Session &session);
     void checkIdleTransactions(Instant now);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -20,7 +20,10 @@
     Duration surplusAfter = std::chrono::seconds(5); ///< Demand for connections is remembered for so long.
     Duration drainNotice = std::chrono::milliseconds(2300); ///< The balancer needs two missed checks of a second each.
     Duration drainReserve = std::chrono::milliseconds(900); ///< Of the grace, for closing what is left.
-    double holdPart = 0.3; ///< Of a statement's timeout: how long it may wait without being offered to a server.
+    Duration beginPatience = std::chrono::milliseconds(120); ///< A BEGIN waits for no slot, so it is answered at once.
+    Duration knownOutage = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
+    double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
+    double longestHold = 0.3; ///< The same, as a part of the statement's timeout.
     std::uint32_t mostAttempts = 5; ///< For one statement that did not run.
     std::size_t mostPrepared = 64; ///< Prepared statements on one connection.
     std::size_t mostSessionNames = 256; ///< Prepared statements, and values, of one session.
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -83,7 +83,9 @@
     BackendPool *pool = poolOf(service.primary.backend);
     const bool works = pool != nullptr && pool->usable(now) && !pool->suspect(now);
     if (!works) {
-        if (now < session.operation->holdUntil) {
+        const std::optional<Instant> answered = pool == nullptr ? std::nullopt : pool->lastAnswer();
+        const bool lasts = answered && now - *answered > timing_.knownOutage && !service.failingOver;
+        if (now < session.operation->holdUntil && !lasts) {
             return Placement::Waits;
         }
         constexpr Duration ComeBack = std::chrono::milliseconds(250); // About what is left of a failover by then.
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -177,8 +177,9 @@
         operation.needsPrimary = operation.writes || operation.route->guarantee == ReadGuarantee::Primary;
     }
     operation.deadline = now + operation.route->timeout;
-    operation.holdUntil
-        = now + std::chrono::duration_cast<Duration>(operation.route->timeout * timing_.holdPart);
+    operation.holdUntil = now
+        + std::chrono::duration_cast<Duration>(std::min<std::chrono::duration<double, std::milli>>(
+            operation.route->target * timing_.holdTargets, operation.route->timeout * timing_.longestHold));
     operation.statement = std::move(statement);
     session.operation = std::move(operation);
     active_.insert(session.id);
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -32,22 +32,45 @@
             continue;
         }
         PendingStatement &operation = *session->operation;
-        if (now >= operation.deadline) {
-            if (operation.connection == 0) {
-                refuse(now, *session, operation.lastRefusal, "deadline", timing_.longestBackoff / 4);
-            } else {
-                // The connection finishes by itself; its answer has nobody to go to.
-                operation.attempts = timing_.mostAttempts;
+        if (operation.connection != 0) {
+            checkRunning(now, *session);
+        } else if (operation.role == PendingStatement::Role::Next) {
+            if (now >= operation.deadline) {
                 loseAnswer(now, *session, "timed-out");
+            } else if (now >= operation.retryAt) {
+                enqueue(now, *session);
             }
-        } else if (operation.connection != 0) {
-            hedge(now, *session);
-        } else if (operation.role == PendingStatement::Role::Next && now >= operation.retryAt) {
-            enqueue(now, *session);
+        } else if (now >= operation.holdUntil) {
+            refuse(now, *session, operation.lastRefusal, "waited", timing_.longestBackoff / 4);
         }
     }
 }
 
+// Gives up on what gets no answer. A connection that is given up finishes by itself; its answer has nobody to go to.
+void ProxyCore::checkRunning(Instant now, Session &session)
+{
+    PendingStatement &operation = *session.operation;
+    const auto at = connections_.find(operation.connection);
+    if (at == connections_.end()) {
+        loseAnswer(now, session, "connection-lost");
+        return;
+    }
+    BackendPool &pool = *poolOf(at->second);
+    BackendConnection &connection = *pool.find(operation.connection);
+    const bool late = now >= operation.deadline;
+    const bool silent = pool.suspect(now) && now - connection.since > timing_.suspicion;
+    if (connection.beginning && (late || now - connection.since > timing_.beginPatience)) {
+        connection.session = 0;
+        tryAgain(now, session, pool, AnswerCode::Busy);
+    } else if (late || silent) {
+        connection.session = 0;
+        operation.attempts = late ? timing_.mostAttempts : operation.attempts;
+        loseAnswer(now, session, late ? "timed-out" : "server-silent");
+    } else {
+        hedge(now, session);
+    }
+}
+
 // Gives a read that stays without an answer to another server or connection. The first one is left alone: it may only
 // be slow, and its answer is dropped.
 void ProxyCore::hedge(Instant now, Session &session)
