Do not take a learner for silent before it was sent anything

Ruled out: rejoining under a new incarnation (the membership, now logged as control.members, showed the same one). Test: OpenMembership, AWipedVmJoinsALeaderOfLongStanding, red before.

--- a/include/daisyrelay/consensus/followerprogress.h
+++ b/include/daisyrelay/consensus/followerprogress.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/base.h"
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -16,12 +17,14 @@
     Instant waitingSince {};
     std::uint64_t snapshotIndex = 0; ///< The snapshot that is being sent; zero if none.
     std::uint64_t snapshotOffset = 0;
+    Instant firstSent = Instant::max(); ///< When it was first sent anything.
     Instant heardSent = Instant::min(); ///< When the latest message that was answered had been sent.
 
     void recordSend(std::uint64_t round, Instant now)
     {
         constexpr std::size_t MostRounds = 64;
         sent_.emplace_back(round, now);
+        firstSent = std::min(firstSent, now);
         if (sent_.size() > MostRounds) {
             sent_.pop_front();
         }
--- a/lib/consensus/membershipchanges.cpp
+++ b/lib/consensus/membershipchanges.cpp
@@ -42,8 +42,10 @@
         return false;
     }
     const auto found = progress_.find(member.vm);
-    const Instant heard = found == progress_.end() ? Instant::min() : found->second.heardSent;
-    return now - std::max(heard, ledSince_) > limit;
+    if (found == progress_.end() || found->second.firstSent == Instant::max()) {
+        return false;
+    }
+    return now - std::max(found->second.heardSent, found->second.firstSent) > limit;
 }
 
 // A learner that has caught up gets a free seat, or that of a voter which has been silent for long. The zone with the
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -235,6 +235,7 @@
     settling_ = true;
     for (;;) {
         raft_->flush();
+        logMembers(now);
         supervisor_.onLeadership(now, leads(now), raft_->core().term(), controlVms());
         std::vector<SupervisionAction> actions = supervisor_.takeActions();
         if (actions.empty()) {
@@ -247,6 +248,25 @@
     settling_ = false;
 }
 
+void ControlNode::logMembers(Instant now)
+{
+    const RaftCore &core = raft_->core();
+    const std::uint64_t index = core.log().membershipIndex();
+    if (index == loggedMembers_ && core.leader() == loggedLeader_) {
+        return;
+    }
+    loggedMembers_ = index;
+    loggedLeader_ = core.leader();
+    std::string members;
+    for (const Member &member : core.log().membership().members) {
+        members += (members.empty() ? "" : ",") + member.vm.value + (member.voter ? "" : "/learner");
+    }
+    context_.log.log(now, "control.members",
+        { { "members", std::string_view(members) }, { "index", index }, { "commit", core.commitIndex() },
+            { "term", core.term() }, { "leader", std::string_view(loggedLeader_ ? loggedLeader_->value : "") },
+            { "voter", core.isVoter() } });
+}
+
 void ControlNode::perform(Instant now, SupervisionAction action)
 {
     if (auto *propose = std::get_if<ProposeSupervision>(&action); propose != nullptr) {
--- a/lib/runtime/controlnode.h
+++ b/lib/runtime/controlnode.h
@@ -34,6 +34,7 @@
 
     /// Lets consensus and supervisor act until neither has anything to do.
     void settle(Instant now);
+    void logMembers(Instant now);
     void perform(Instant now, SupervisionAction action);
     void promote(const PromoteThroughPlatform &promotion);
     void finishRequest(std::uint64_t id, ControlResult result);
@@ -50,6 +51,8 @@
     boost::asio::steady_timer timer_;
     std::map<std::uint64_t, OpenRequest> requests_;
     std::uint64_t nextRequest_ = 1;
+    std::uint64_t loggedMembers_ = 0;
+    std::optional<VmId> loggedLeader_;
     bool settling_ = false;
     std::optional<Instant> drainSince_;
 };
--- /dev/null
+++ b/unittests/consensus/openmembershiptest.cpp
@@ -0,0 +1,119 @@
+// Memberships that VMs join which no settings list, and that replace members which stay silent.
+#include "fakecluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+static RaftOptions openOptions(std::size_t voters)
+{
+    RaftOptions options;
+    options.openMembership = true;
+    options.voters = voters;
+    return options;
+}
+
+static std::size_t voterCount(const FakeCluster &cluster)
+{
+    const std::optional<std::size_t> leader = cluster.leader();
+    if (!leader) {
+        return 0;
+    }
+    const std::vector<Member> &members = cluster.vms[*leader].core->log().membership().members;
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [](const Member &member) { return member.voter; }));
+}
+
+static bool isMember(const FakeCluster &cluster, std::size_t vm)
+{
+    const std::optional<std::size_t> leader = cluster.leader();
+    if (!leader) {
+        return false;
+    }
+    const std::vector<Member> &members = cluster.vms[*leader].core->log().membership().members;
+    return std::any_of(
+        members.begin(), members.end(), [&](const Member &member) { return member.vm == cluster.vms[vm].id; });
+}
+
+TEST_GROUP(OpenMembership) {};
+
+TEST(OpenMembership, AWipedVmJoinsALeaderOfLongStanding)
+{
+    FakeCluster cluster(3, 7, openOptions(3));
+    CHECK(cluster.runUntil([&]() { return cluster.settled(); }));
+    cluster.run(30s);
+    const std::size_t wiped = (*cluster.leader() + 1) % 3;
+    cluster.wipe(wiped);
+    const std::uint64_t before = cluster.vms[*cluster.leader()].core->log().lastIndex();
+    CHECK(cluster.runUntil([&]() { return cluster.settled(); }, 3s));
+    CHECK(cluster.vms[*cluster.leader()].core->log().lastIndex() <= before + 4);
+    CHECK_EQUAL(std::string(), cluster.violation);
+}
+
+TEST(OpenMembership, AVmThatNobodyListsTakesTheSeatOfOneThatIsGone)
+{
+    FakeCluster cluster(4, 7, openOptions(3));
+    cluster.crash(3);
+    // Only the first three are listed.
+    cluster.options.controlVms.pop_back();
+    for (std::size_t at = 0; at < 3; ++at) {
+        cluster.wipe(at);
+    }
+    CHECK(cluster.runUntil([&]() { return voterCount(cluster) == 3; }));
+    const std::size_t gone = (*cluster.leader() + 1) % 3;
+    cluster.crash(gone);
+    cluster.start(3);
+    CHECK(cluster.runUntil([&]() { return isMember(cluster, 3) && !isMember(cluster, gone); }, 10s));
+    CHECK(cluster.runUntil([&]() { return voterCount(cluster) == 3; }, 3s));
+    CHECK(cluster.propose(*cluster.leader(), "after"));
+    cluster.run(1s);
+    CHECK(cluster.applied(3, "after"));
+    CHECK_EQUAL(std::string(), cluster.violation);
+}
+
+TEST(OpenMembership, AMemberThatWasDroppedWhileCutOffComesBack)
+{
+    FakeCluster cluster(4, 11, openOptions(3));
+    CHECK(cluster.runUntil([&]() { return cluster.leader().has_value(); }));
+    cluster.run(2s);
+    const std::size_t cut = (*cluster.leader() + 1) % 4;
+    cluster.isolate(cut);
+    CHECK(cluster.runUntil([&]() { return !isMember(cluster, cut); }, 60s));
+    cluster.cuts.clear();
+    CHECK(cluster.runUntil([&]() { return isMember(cluster, cut); }, 10s));
+    CHECK(cluster.propose(*cluster.leader(), "after"));
+    cluster.run(1s);
+    CHECK(cluster.applied(cut, "after"));
+    CHECK_EQUAL(std::string(), cluster.violation);
+}
+
+TEST(OpenMembership, EmptyDisksAloneFoundNothing)
+{
+    RaftOptions options = openOptions(3);
+    options.mayFound = false;
+    FakeCluster cluster(3, 7, options);
+    cluster.run(20s);
+    CHECK(!cluster.leader());
+}
+
+TEST(OpenMembership, ALeaderWithAFullDiskStepsAside)
+{
+    FakeCluster cluster(3, 7, openOptions(3));
+    CHECK(cluster.runUntil([&]() { return cluster.settled(); }));
+    const std::size_t full = *cluster.leader();
+    cluster.vms[full].disk->full = true;
+    cluster.propose(full, "stuck");
+    CHECK(cluster.runUntil([&]() { return cluster.leader() && cluster.leader() != full; }, 5s));
+    CHECK(cluster.propose(*cluster.leader(), "goes on"));
+    CHECK_EQUAL(std::string(), cluster.violation);
+}
+
+TEST(OpenMembership, ALeaderThatRetiresIsFollowedByAnother)
+{
+    FakeCluster cluster(3, 7, openOptions(3));
+    CHECK(cluster.runUntil([&]() { return cluster.settled(); }));
+    const std::size_t retired = *cluster.leader();
+    cluster.vms[retired].core->retire(cluster.now);
+    CHECK(cluster.runUntil([&]() { return cluster.leader() && cluster.leader() != retired; }, 2s));
+}
