Give each entry one connection at once after a start, and let sessions wait for the first configuration

Test: EntryRegistry, BeforeAllHadTimeToReport (replaces the one that demanded nothing before; the sum stays bounded).

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -67,6 +67,13 @@
         std::size_t waitingForPrimary = 0;
     };
 
+    /// A caller that waits for the first configuration.
+    struct OpeningSession {
+        SessionId id = 0;
+        std::string database;
+        Instant until {};
+    };
+
     enum class Placement : std::uint8_t {
         Started,
         Waits, ///< For a connection, or for something that time decides.
@@ -125,6 +132,7 @@
     void logOutcome(Instant now, const Session &session, const PendingStatement &operation, const CallerAnswer &answer);
 
     // timers.cpp
+    void checkOpening(Instant now);
     void checkOperations(Instant now);
     void checkRunning(Instant now, Session &session);
     void checkConnections(Instant now);
@@ -150,6 +158,7 @@
     std::map<BackendId, BackendPool> pools_;
     std::map<BackendId, std::uint32_t> quotas_;
     std::unordered_map<SessionId, Session> sessions_;
+    std::vector<OpeningSession> opening_;
     std::set<SessionId> active_; ///< Sessions with a statement under way.
     std::unordered_map<ConnectionId, BackendId> connections_;
     std::map<PreparedStatement, std::string> names_;
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -20,6 +20,7 @@
     Duration surplusAfter = std::chrono::seconds(5); ///< Demand for connections is remembered for so long.
     Duration drainNotice = std::chrono::milliseconds(2300); ///< The balancer needs two missed checks of a second each.
     Duration drainReserve = std::chrono::milliseconds(900); ///< Of the grace, for closing what is left.
+    Duration openingHold = std::chrono::milliseconds(1000); ///< A new session waits so long for the configuration.
     Duration beginPatience = std::chrono::milliseconds(120); ///< A BEGIN waits for no slot, so it is answered at once.
     Duration knownOutage = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
     double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -21,7 +21,8 @@
 void ProxyCore::onSessionOpened(Instant now, SessionId id, const std::string &database)
 {
     if (configVersion_ == 0) {
-        actions_.emplace_back(RejectCaller { id, AnswerCode::Busy, "starting, come back in 500 ms" });
+        // The configuration is a moment away after a start; a caller that is sent off comes back to another start.
+        opening_.push_back({ id, database, now + timing_.openingHold });
         return;
     }
     if (!routes_.contains(database)) {
@@ -40,6 +41,7 @@
 
 void ProxyCore::onSessionClosed(Instant now, SessionId id)
 {
+    std::erase_if(opening_, [id](const OpeningSession &opening) { return opening.id == id; });
     const auto found = sessions_.find(id);
     if (found == sessions_.end()) {
         return;
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -7,6 +7,7 @@
 
 void ProxyCore::tick(Instant now)
 {
+    checkOpening(now);
     checkOperations(now);
     checkConnections(now);
     constexpr Duration IdleCheck = std::chrono::milliseconds(100);
@@ -23,6 +24,19 @@
     }
 }
 
+void ProxyCore::checkOpening(Instant now)
+{
+    for (const OpeningSession &opening : std::exchange(opening_, {})) {
+        if (configVersion_ > 0) {
+            onSessionOpened(now, opening.id, opening.database);
+        } else if (now < opening.until) {
+            opening_.push_back(opening);
+        } else {
+            actions_.emplace_back(RejectCaller { opening.id, AnswerCode::Busy, "starting, come back in 500 ms" });
+        }
+    }
+}
+
 void ProxyCore::checkOperations(Instant now)
 {
     const std::vector<SessionId> active(active_.begin(), active_.end());
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -35,6 +35,7 @@
     for (const ServiceId &service : update.failingOver) {
         serviceOf(service).failingOver = true;
     }
+    checkOpening(now);
     for (auto &[id, service] : services_) {
         dispatch(now, id);
     }
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -56,9 +56,11 @@
 {
     std::vector<ConnectionQuota> changes;
     const auto found = sessions_.find(entry);
-    if (found == sessions_.end() || now - since_ < timing_.quotaDelay) {
+    if (found == sessions_.end()) {
         return changes;
     }
+    // Until all had time to report, nobody knows how many there are, so each gets one to begin with.
+    const bool early = now - since_ < timing_.quotaDelay;
     ReportedEntry &session = found->second;
     for (const auto &[id, backend] : state.backends()) {
         const ServiceLimits *limits = state.limitsOf(backend.service);
@@ -71,12 +73,12 @@
         const auto wish = std::find_if(session.report.wanted.begin(), session.report.wanted.end(),
             [&id = id](const ConnectionQuota &quota) { return quota.backend == id; });
         const std::uint32_t wanted = wish == session.report.wanted.end() ? 0 : wish->connections;
-        const std::uint32_t target = std::max(share, wanted);
+        const std::uint32_t target = early ? 1 : std::max(share, wanted);
         std::uint32_t &granted = session.granted[id];
-        const std::uint32_t others = spokenFor(entry, id, share);
+        const std::uint32_t others = spokenFor(entry, id, early ? 0 : share);
         const std::uint32_t free = usable > others ? usable - others : 0;
         const std::uint32_t allowed = std::min(target, free);
-        if (allowed == granted) {
+        if (allowed == granted || (early && allowed < granted)) {
             continue;
         }
         changes.push_back({ id, allowed });
--- a/unittests/supervision/entryregistrytest.cpp
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -79,9 +79,11 @@
     CHECK_EQUAL(14U, grant("b", 7));
 }
 
-TEST(EntryRegistry, NothingIsGrantedBeforeAllHaveHadTimeToReport)
+TEST(EntryRegistry, BeforeAllHadTimeToReportEachGetsOneAndNoneIsTakenAway)
 {
     registry.reset(now);
     report("a", 0, 14);
-    CHECK_EQUAL(0U, grant("a", 0));
+    CHECK_EQUAL(1U, grant("a", 0));
+    report("b", 5, 0);
+    CHECK_EQUAL(5U, grant("b", 5));
 }
