Send the callers of an isolated entry to other availability zones

An entry that has heard neither control nor most primaries for 1 s now says that it is not ready, and closes resting sessions once the balancer has had time to notice.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -45,6 +45,9 @@
     /// Whether callers may be sent here.
     [[nodiscard]] bool ready() const;
 
+    /// Whether callers are better off elsewhere, and the balancer has had time to notice.
+    [[nodiscard]] bool sendsCallersAway(Instant now) const;
+
     /// Whether a drain is over.
     [[nodiscard]] bool drained(Instant now) const;
 
@@ -140,6 +143,8 @@
     void checkIdleTransactions(Instant now);
     void keepSamples(Instant now);
     void advanceDrain(Instant now);
+    void checkIsolation(Instant now);
+    void closeResting(Instant now, bool transactionsToo);
 
     [[nodiscard]] BackendPool *poolOf(const BackendId &backend);
     [[nodiscard]] const BackendPool *poolOf(const BackendId &backend) const;
@@ -165,6 +170,8 @@
     std::uint64_t nextName_ = 1;
     ConnectionId nextConnection_ = 1;
     Instant checkedIdleAt_ {};
+    std::optional<Instant> heardControlAt_;
+    std::optional<Instant> isolatedSince_; ///< Neither control nor most primaries can be reached.
     std::optional<Instant> drainSince_;
     Duration grace_ {};
     std::vector<ProxyAction> actions_;
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -18,6 +18,8 @@
     Duration shortestHedge = std::chrono::milliseconds(60); ///< A read is not given to a second server earlier.
     Duration zoneCost = std::chrono::milliseconds(2); ///< Of a server in another zone: one more round trip.
     Duration surplusAfter = std::chrono::seconds(5); ///< Demand for connections is remembered for so long.
+    Duration isolation = std::chrono::milliseconds(1000); ///< Of silence of control and primaries, before callers are
+                                                           ///< sent elsewhere; a change of leader takes less.
     Duration drainNotice = std::chrono::milliseconds(2300); ///< The balancer needs two missed checks of a second each.
     Duration drainReserve = std::chrono::milliseconds(900); ///< Of the grace, for closing what is left.
     Duration openingHold = std::chrono::milliseconds(1000); ///< A new session waits so long for the configuration.
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -74,8 +74,7 @@
 void ProxyCore::closeWhenIdle(Session &session)
 {
     // Right after an answer no request can be on its way.
-    if (drainSince_ && session.lastActive - *drainSince_ > timing_.drainNotice && !session.transaction
-        && !session.operation) {
+    if (sendsCallersAway(session.lastActive) && !session.transaction && !session.operation) {
         actions_.emplace_back(CloseSession { session.id });
     }
 }
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -14,6 +14,7 @@
     if (now - checkedIdleAt_ >= IdleCheck) {
         checkedIdleAt_ = now;
         checkIdleTransactions(now);
+        checkIsolation(now);
         advanceDrain(now);
     }
     keepSamples(now);
@@ -188,19 +189,47 @@
     }
 }
 
-void ProxyCore::advanceDrain(Instant now)
+// An entry that is cut off with its availability zone can serve next to nothing, while its callers still reach others.
+void ProxyCore::checkIsolation(Instant now)
 {
-    if (!drainSince_ || now - *drainSince_ < timing_.drainNotice) {
-        return;
+    std::size_t silent = 0;
+    std::size_t known = 0;
+    for (const auto &[id, service] : services_) {
+        const BackendPool *pool = poolOf(service.primary.backend);
+        const std::optional<Instant> answered = pool == nullptr ? std::nullopt : pool->lastAnswer();
+        known += pool == nullptr ? 0 : 1;
+        silent += pool != nullptr && (!answered || now - *answered > timing_.isolation) ? 1 : 0;
+    }
+    const bool isolated
+        = heardControlAt_ && now - *heardControlAt_ > timing_.isolation && known > 0 && 2 * silent > known;
+    if (isolated != isolatedSince_.has_value()) {
+        log_.log(now, isolated ? "entry.isolated" : "entry.reconnected",
+            { { "control_silent_ms", now - *heardControlAt_ }, { "primaries_silent", std::uint64_t { silent } },
+                { "primaries", std::uint64_t { known } } });
+        isolatedSince_ = isolated ? std::optional(now) : std::nullopt;
+    }
+    if (isolated && sendsCallersAway(now)) {
+        closeResting(now, false);
     }
-    const bool last = now - *drainSince_ > grace_ - timing_.drainReserve;
-    constexpr Duration Quiet = std::chrono::milliseconds(50);
+}
+
+void ProxyCore::closeResting(Instant now, bool transactionsToo)
+{
+    constexpr Duration Quiet = std::chrono::milliseconds(50); // A request that is on its way has arrived by then.
     for (auto &[id, session] : sessions_) {
         const bool resting = !session.operation && !session.transaction && now - session.lastActive > Quiet;
-        if (resting || (last && !session.operation)) {
+        if (resting || (transactionsToo && !session.operation)) {
             actions_.emplace_back(CloseSession { id });
         }
     }
+}
+
+void ProxyCore::advanceDrain(Instant now)
+{
+    if (!drainSince_ || now - *drainSince_ < timing_.drainNotice) {
+        return;
+    }
+    closeResting(now, now - *drainSince_ > grace_ - timing_.drainReserve);
     if (!sessions_.empty()) {
         return;
     }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -17,6 +17,7 @@
 
 void ProxyCore::onUpdate(Instant now, const EntryUpdate &update)
 {
+    heardControlAt_ = now;
     if (update.configuration) {
         applyConfiguration(now, *update.configuration);
     }
