Let a few entries hold the connections of a backend server that has too few for all

Weighed: shares that move with demand (a transaction of 300 ms needs its connection now, not after the next report) against homes: two entries in the server's zone hold all connections, and the others send them their statements with the session's values, prepared statement and floor. Homes ask a home of the primary for positions. Test: EntryRegistry, WhereConnectionsAreScarceAFewEntriesHoldAllOfThem.

--- a/include/daisyrelay/proxy.h
+++ b/include/daisyrelay/proxy.h
@@ -8,4 +8,3 @@
 #include "daisyrelay/proxy/proxycore.h"
 #include "daisyrelay/proxy/proxytiming.h"
 #include "daisyrelay/proxy/session.h"
-#include "daisyrelay/proxy/statement.h"
--- a/include/daisyrelay/proxy/proxyactions.h
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daisyrelay/limits.h"
-#include "daisyrelay/proxy/statement.h"
+#include "daisyrelay/wire/sessionstatement.h"
 #include "daisyrelay/wire.h"
 
 #include <variant>
@@ -50,8 +50,14 @@
     std::vector<Statement> statements;
 };
 
+/// Sends a message to another entry.
+struct SendToEntry {
+    VmId to;
+    std::variant<GuestRequest, GuestAnswer, GuestEnd, PositionRequest, PositionAnswer> message;
+};
+
 using ProxyAction = std::variant<GreetCaller, RejectCaller, SendAnswer, CloseSession, OpenBackendConnection,
-    CloseBackendConnection, RunExchange>;
+    CloseBackendConnection, RunExchange, SendToEntry>;
 
 /// Why a connection to a backend server is gone.
 enum class ConnectionLoss : std::uint8_t {
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -23,7 +23,8 @@
 class ProxyCore
 {
 public:
-    ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, ProxyTiming timing = {});
+    /// \p channelBase must differ between runs of one VM, so that other entries do not mistake one for another.
+    ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t channelBase = 0, ProxyTiming timing = {});
 
     void onUpdate(Instant now, const EntryUpdate &update);
 
@@ -33,6 +34,13 @@
     /// The caller is gone, or sent something that makes no sense.
     void onSessionClosed(Instant now, SessionId session);
 
+    /// Messages of other entries.
+    void onGuestRequest(Instant now, const VmId &from, const GuestRequest &request);
+    void onGuestAnswer(Instant now, const VmId &from, const GuestAnswer &answer);
+    void onGuestEnd(Instant now, const VmId &from, const GuestEnd &end);
+    void onPositionRequest(Instant now, const VmId &from, const PositionRequest &request);
+    void onPositionAnswer(Instant now, const VmId &from, const PositionAnswer &answer);
+
     void onConnectionOpened(Instant now, ConnectionId connection);
     void onConnectionLost(Instant now, ConnectionId connection, ConnectionLoss loss);
     void onExchange(Instant now, ConnectionId connection, std::vector<BackendAnswer> answers);
@@ -61,6 +69,9 @@
     [[nodiscard]] std::size_t sessions() const;
 
 private:
+    /// Sessions of guests are numbered from here, those of callers below.
+    static constexpr SessionId FirstGuest = SessionId { 1 } << 62U;
+
     struct Service {
         PrimaryRecord primary;
         bool failingOver = false;
@@ -68,6 +79,19 @@
         std::set<std::tuple<std::uint32_t, Instant, SessionId>> waiting; ///< By priority and arrival.
         Instant sampledAt {}; ///< When a position was last asked for.
         std::size_t waitingForPrimary = 0;
+        std::map<std::uint64_t, Instant> positionsAsked; ///< Of a home of the primary; when each request was sent.
+        struct Asker {
+            VmId entry;
+            std::uint64_t sequence = 0;
+            Instant askedAt {};
+        };
+        std::vector<Asker> askers; ///< Entries that wait for a position.
+    };
+
+    /// What was seen of an entry that runs statements for this one.
+    struct HomeState {
+        std::size_t open = 0;
+        Instant avoidUntil {};
     };
 
     /// A caller that waits for the first configuration.
@@ -110,6 +134,19 @@
     void openFor(Instant now, BackendPool &pool, std::size_t demand);
     void refuse(Instant now, Session &session, AnswerCode code, std::string_view reason, Duration comeBack);
 
+    // guests.cpp
+    Placement placeRemotely(Instant now, Session &session, Service &service, bool atPrimary);
+    const BackendId *remoteServer(const PendingStatement &operation, const Service &service, bool atPrimary) const;
+    const VmId *homeOf(Instant now, const BackendId &backend) const;
+    void sendToHome(Instant now, Session &session, const VmId &home, bool atPrimary);
+    void endRemotely(Session &session);
+    void succeedRemotely(Instant now, Session &session, const VmId &home, const GuestAnswer &reply);
+    void answerGuest(Session &session, CallerAnswer answer);
+    void checkRemote(Instant now, Session &session);
+    void askPosition(Instant now, const ServiceId &id, Service &service);
+    void answerPositions(const ServiceId &id, Service &service, Instant askedAt, const LogPoint &point);
+    [[nodiscard]] bool hasLocalServer(const ServiceId &service) const;
+
     // exchanges.cpp
     void send(Instant now, Session &session, BackendPool &pool, BackendConnection &connection,
         std::optional<LogPoint> since);
@@ -122,6 +159,7 @@
     void sample(Instant now, const ServiceId &id, Service &service);
     void cleanUp(Instant now, BackendPool &pool, BackendConnection &connection);
     void release(Instant now, BackendPool &pool, BackendConnection &connection);
+    void closeSurplus(Instant now, BackendPool &pool);
     void closeConnection(Instant now, BackendPool &pool, ConnectionId connection, ConnectionLoss loss);
 
     // outcomes.cpp
@@ -164,6 +202,14 @@
     std::map<BackendId, std::uint32_t> quotas_;
     std::unordered_map<SessionId, Session> sessions_;
     std::vector<OpeningSession> opening_;
+    std::map<BackendId, std::vector<VmId>> homes_;
+    std::uint64_t homesVersion_ = 0;
+    std::map<VmId, HomeState> homeStates_;
+    std::map<std::pair<VmId, std::uint64_t>, SessionId> guests_;
+    SessionId nextGuest_ = FirstGuest;
+    std::vector<SessionId> finishedGuests_;
+    std::uint64_t channelBase_;
+    std::uint64_t nextSequence_ = 1;
     std::set<SessionId> active_; ///< Sessions with a statement under way.
     std::unordered_map<ConnectionId, BackendId> connections_;
     std::map<PreparedStatement, std::string> names_;
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -29,7 +29,7 @@
     bool failed = false; ///< Only its end is accepted.
     bool wrote = false;
     ConnectionId connection = 0; ///< Zero until it has started.
-    std::uint64_t generation = 0;
+    VmId home; ///< The entry on which it has started, if not here.
     Instant beganAt {};
     Instant idleSince {};
     std::shared_ptr<const DatabaseRoute> route;
@@ -57,12 +57,24 @@
     std::uint32_t attempts = 0;
     bool offered = false; ///< Whether it was ever sent.
     ConnectionId connection = 0; ///< While it runs.
+    VmId home; ///< The entry on which it runs, if not here.
+    std::uint64_t sequence = 0; ///< Of the request to that entry.
+    BackendId remoteBackend; ///< The server that it was sent to that entry for.
     std::set<BackendId> tried; ///< Servers that lag too far for it, or failed it.
     AnswerCode lastRefusal = AnswerCode::Busy;
 };
 
+/// Where the session of a guest lives.
+struct GuestOrigin {
+    VmId entry;
+    std::uint64_t channel = 0;
+    std::uint64_t sequence = 0; ///< Of the request under way.
+};
+
 struct Session {
     SessionId id = 0;
+    std::optional<GuestOrigin> guest; ///< Set if the session's caller is connected to another entry.
+    std::uint64_t generation = 0; ///< Of the primary that ran the last statement; zero if a replica did.
     std::string database;
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared;
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -40,6 +40,12 @@
     /// Returns the quotas of \p entry that have to change, and counts on raised ones from now on.
     std::vector<ConnectionQuota> grant(Instant now, const VmId &entry, const SupervisionState &state);
 
+    /// Chooses anew which entries are homes. \returns whether any changed.
+    bool assignHomes(Instant now, const SupervisionState &state);
+
+    [[nodiscard]] std::vector<BackendHomes> homes() const;
+    [[nodiscard]] std::uint64_t homesVersion() const;
+
     /// Tells whether any entry proves that \p backend leads.
     [[nodiscard]] bool anyAnswered(Instant since, const ServiceId &service, const BackendId &backend) const;
 
@@ -51,9 +57,24 @@
 
 private:
     [[nodiscard]] std::uint32_t spokenFor(
-        const VmId &except, const BackendId &backend, std::uint32_t share) const;
+        const VmId &except, const BackendId &backend, std::uint32_t usable, bool early);
+    [[nodiscard]] std::uint32_t claimOf(
+        const VmId &entry, const ReportedEntry &session, const BackendId &backend, std::uint32_t usable) const;
+
+    [[nodiscard]] std::uint32_t targetFor(
+        const VmId &entry, const BackendId &backend, std::uint32_t usable, std::uint32_t wanted) const;
+    [[nodiscard]] std::uint32_t shareOf(const VmId &entry, const BackendId &backend, std::uint32_t usable) const;
 
     SupervisionTiming timing_;
+    std::map<BackendId, std::vector<VmId>> homes_;
+    std::uint64_t homesVersion_ = 0;
+    /// The sum of the claims of all entries on a backend server, as long as neither entries nor homes change.
+    struct Total {
+        std::uint32_t usable = 0;
+        std::uint32_t claims = 0;
+    };
+
+    std::map<BackendId, Total> totals_;
     Instant since_ {};
     std::map<VmId, ReportedEntry> sessions_;
 };
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -23,7 +23,8 @@
     Duration backendSilence = std::chrono::milliseconds(4500); ///< Three and more heartbeats missing: not promoted.
     Duration backendGone = std::chrono::seconds(30); ///< A backend server silent for longer is forgotten.
     Duration entrySilence = std::chrono::milliseconds(1500); ///< The word of an entry silent for longer does not count.
-    Duration entryGone = std::chrono::seconds(10); ///< Its connections are given to others after this.
+    Duration entryGone = std::chrono::seconds(6); ///< Its connections are given to others after this.
+    Duration homesInterval = std::chrono::milliseconds(250); ///< Between two checks of who holds connections.
     Duration quotaDelay = std::chrono::milliseconds(700); ///< A new leader hears all entries before it grants.
     Duration pushRetry = std::chrono::milliseconds(1000); ///< What an entry did not confirm is sent again after this.
     Duration reportInterval = std::chrono::milliseconds(200); ///< Of each entry, while there are few.
@@ -33,4 +34,10 @@
 /// Connections to each backend server that no entry gets: for the leader's probes and for those that linger.
 constexpr std::uint32_t ReservedConnections = 2;
 
+/// Connections to a backend server that each entry must be able to hold; with fewer, a few entries hold all of them.
+constexpr std::size_t DirectShare = 2;
+
+/// Entries that hold the connections of one backend server then. One may be lost.
+constexpr std::size_t HomesOfServer = 2;
+
 } // namespace daisyrelay
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -72,6 +72,8 @@
     bool leading_ = false;
     Term term_ = 0;
     Instant leadsSince_ {};
+    Instant homesCheckedAt_ {};
+    bool pushDue_ = false;
     std::vector<VmId> controlVms_;
     EntryRegistry entries_;
     std::map<BackendId, Instant> heardAt_;
--- a/include/daisyrelay/wire.h
+++ b/include/daisyrelay/wire.h
@@ -13,5 +13,6 @@
 #include "daisyrelay/wire/raftmessages.h"
 #include "daisyrelay/wire/raftstate.h"
 #include "daisyrelay/wire/routeconfiguration.h"
+#include "daisyrelay/wire/sessionstatement.h"
 #include "daisyrelay/wire/statement.h"
 #include "daisyrelay/wire/supervisionsnapshot.h"
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/wire/backendrecord.h"
 #include "daisyrelay/wire/raftmessages.h"
+#include "daisyrelay/wire/guestmessages.h"
 #include "daisyrelay/wire/routeconfiguration.h"
 
 #include <optional>
@@ -47,6 +48,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0; ///< In force on the entry.
     std::uint64_t topologyIndex = 0; ///< Of the topology that it holds.
+    std::uint64_t homesVersion = 0; ///< Of the homes that it knows.
     std::vector<ConnectionQuota> held; ///< The quotas that it counts on; only it lowers them.
     std::vector<ConnectionQuota> wanted; ///< Where they differ from `held`.
     std::vector<PrimaryObservation> primaries;
@@ -54,7 +56,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(name, zone, run, sequence, configVersion, topologyIndex, held, wanted, primaries);
+        archive(name, zone, run, sequence, configVersion, topologyIndex, homesVersion, held, wanted, primaries);
     }
 };
 
@@ -71,6 +73,20 @@
     }
 };
 
+/// The entries that hold the connections to a backend server which has too few for all of them.
+struct BackendHomes {
+    BackendId backend;
+    std::vector<VmId> entries;
+
+    bool operator==(const BackendHomes &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(backend, entries);
+    }
+};
+
 /// The leader's answer to a report, also sent when something changes.
 struct EntryUpdate {
     Term leaderTerm = 0;
@@ -81,13 +97,15 @@
     std::vector<ConnectionQuota> quotas; ///< Changed ones only.
     std::vector<VmId> controlVms;
     std::uint32_t reportIntervalMs = 0;
+    std::uint64_t homesVersion = 0;
+    std::optional<std::vector<BackendHomes>> homes; ///< If the entry has others.
     std::vector<ServiceId> failingOver; ///< Services whose primary is about to change.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, reportIntervalMs,
-            failingOver);
+            homesVersion, homes, failingOver);
     }
 };
 
@@ -178,7 +196,8 @@
 };
 
 using ClusterPayload
-    = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControl, ForwardedResult>;
+    = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControl, ForwardedResult, GuestRequest,
+        GuestAnswer, GuestEnd, PositionRequest, PositionAnswer>;
 
 struct ClusterMessage {
     VmId from;
--- a/include/daisyrelay/proxy/statement.h
+++ b/include/daisyrelay/wire/sessionstatement.h
@@ -36,6 +36,12 @@
     bool preparesWrite = false; ///< Prepare.
     Term term = 0; ///< Pause.
     std::optional<LogPoint> since; ///< The log of the backend server must hold this, or nothing runs.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, kind, text, name, argument, preparesWrite, term, since);
+    }
 };
 
 enum class AnswerCode : std::uint8_t {
@@ -87,6 +93,12 @@
     std::string detail;
     TransactionState state = TransactionState::Idle;
     std::optional<LogPoint> position;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(code, proof, rows, detail, state, position);
+    }
 };
 
 /// Returns the word for \p code in logs and metrics.
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -8,6 +8,10 @@
 void ProxyCore::enqueue(Instant now, Session &session)
 {
     PendingStatement &operation = *session.operation;
+    if (operation.role == PendingStatement::Role::Next && !session.transaction->home.empty()) {
+        sendToHome(now, session, VmId(session.transaction->home), false);
+        return;
+    }
     if (operation.role == PendingStatement::Role::Next) {
         const auto at = connections_.find(session.transaction->connection);
         BackendPool *pool = at == connections_.end() ? nullptr : poolOf(at->second);
@@ -58,6 +62,9 @@
     if (operation.needsPrimary) {
         return placeAtPrimary(now, session, service);
     }
+    if (!session.guest && !hasLocalServer(operation.route->service)) {
+        return placeRemotely(now, session, service, false);
+    }
     const std::optional<LogPoint> since = positionFor(session, operation, service);
     // Without a proven position only a server that proves its leadership may answer.
     return since ? placeRead(now, session, service, *since) : placeAtPrimary(now, session, service);
@@ -81,6 +88,13 @@
 ProxyCore::Placement ProxyCore::placeAtPrimary(Instant now, Session &session, Service &service)
 {
     BackendPool *pool = poolOf(service.primary.backend);
+    if (pool != nullptr && pool->quota() == 0 && homes_.contains(service.primary.backend)) {
+        if (!session.guest) {
+            return placeRemotely(now, session, service, true);
+        }
+        refuse(now, session, AnswerCode::Busy, "not-a-home", timing_.busyBackoff);
+        return Placement::Refused;
+    }
     const bool works = pool != nullptr && pool->usable(now) && !pool->suspect(now);
     if (!works) {
         const std::optional<Instant> answered = pool == nullptr ? std::nullopt : pool->lastAnswer();
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -166,10 +166,15 @@
     connection.session = 0;
     connection.since = now;
     const ServiceId service = pool.record().service;
+    closeSurplus(now, pool);
+    dispatch(now, service);
+}
+
+void ProxyCore::closeSurplus(Instant now, BackendPool &pool)
+{
     for (const ConnectionId surplus : pool.surplus()) {
         closeConnection(now, pool, surplus, ConnectionLoss::Broken);
     }
-    dispatch(now, service);
 }
 
 void ProxyCore::closeConnection(Instant now, BackendPool &pool, ConnectionId connection, ConnectionLoss loss)
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -104,7 +104,9 @@
     const BackendPool &pool, const BackendConnection &connection, const BackendAnswer &answer)
 {
     if (answer.position && connection.generation != 0) {
-        serviceOf(pool.record().service).freshness.record(connection.since, connection.generation, *answer.position);
+        Service &service = serviceOf(pool.record().service);
+        service.freshness.record(connection.since, connection.generation, *answer.position);
+        answerPositions(pool.record().service, service, connection.since, *answer.position);
     }
 }
 
@@ -199,6 +201,7 @@
         session.transaction->connection = connection.id;
         session.transaction->wrote = session.transaction->wrote || operation.writes;
     }
+    session.generation = connection.generation;
     metrics_.add(pool.record().id == service.primary.backend ? "answers_total{role=\"primary\"}"
                                                              : "answers_total{role=\"replica\"}");
     CallerAnswer reply;
@@ -236,6 +239,7 @@
     reply.code = answer.code;
     reply.detail = std::move(answer.detail);
     if (session.transaction) {
+        endRemotely(session);
         session.transaction->connection = 0;
         session.transaction->failed = true;
         if (session.operation->statement.kind == StatementType::Commit) {
@@ -249,6 +253,7 @@
 {
     PendingStatement &operation = *session.operation;
     operation.connection = 0;
+    endRemotely(session);
     const bool commits = operation.statement.kind == StatementType::Commit;
     const bool single = operation.role == PendingStatement::Role::Single;
     const bool unknown = (single && operation.writes) || (commits && session.transaction && session.transaction->wrote);
@@ -268,6 +273,7 @@
     reply.code = unknown ? AnswerCode::InDoubt : AnswerCode::Aborted;
     reply.detail = std::string(reason);
     if (session.transaction) {
+        endRemotely(session);
         session.transaction->connection = 0;
         session.transaction->failed = true;
         if (commits) {
@@ -292,6 +298,10 @@
     }
     answer.state = session.state();
     logOutcome(now, session, operation, answer);
+    if (session.guest) {
+        answerGuest(session, std::move(answer));
+        return;
+    }
     actions_.emplace_back(SendAnswer { session.id, std::move(answer) });
     closeWhenIdle(session);
 }
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -13,8 +13,8 @@
     return Names.at(static_cast<std::size_t>(code));
 }
 
-ProxyCore::ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, ProxyTiming timing)
-    : zone_(std::move(zone)), log_(log), metrics_(metrics), timing_(timing)
+ProxyCore::ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t channelBase, ProxyTiming timing)
+    : zone_(std::move(zone)), log_(log), metrics_(metrics), timing_(timing), channelBase_(channelBase)
 {
 }
 
@@ -47,6 +47,7 @@
         return;
     }
     Session &session = found->second;
+    endRemotely(session);
     if (session.operation) {
         dequeue(session);
         active_.erase(id);
@@ -77,8 +78,9 @@
 bool ProxyCore::ready() const
 {
     return configVersion_ > 0 && topologyIndex_ > 0 && !drainSince_ && !isolatedSince_
-        && std::any_of(
-            pools_.begin(), pools_.end(), [](const auto &entry) { return entry.second.quota() > 0; });
+        && (!homes_.empty() || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) {
+               return entry.second.quota() > 0;
+           }));
 }
 
 bool ProxyCore::sendsCallersAway(Instant now) const
@@ -103,16 +105,19 @@
     report.zone = zone_;
     report.configVersion = configVersion_;
     report.topologyIndex = topologyIndex_;
+    report.homesVersion = homesVersion_;
     for (const auto &[id, pool] : pools_) {
         const auto open = static_cast<std::uint32_t>(const_cast<BackendPool &>(pool).connections().size());
-        report.held.push_back({ id, std::max(pool.quota(), open) });
+        if (const std::uint32_t held = std::max(pool.quota(), open); held > 0) {
+            report.held.push_back({ id, held });
+        }
         if (const std::uint32_t wanted = pool.wanted(now); wanted > 0) {
             report.wanted.push_back({ id, wanted });
         }
     }
     for (const auto &[id, service] : services_) {
         const BackendPool *pool = poolOf(service.primary.backend);
-        if (pool == nullptr) {
+        if (pool == nullptr || pool->quota() == 0) {
             continue;
         }
         const std::optional<Instant> answered = pool->lastAnswer();
@@ -124,7 +129,7 @@
 
 bool ProxyCore::isBusy() const
 {
-    return drainSince_ || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) {
+    return drainSince_ || !active_.empty() || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) {
         return entry.second.inUse() + entry.second.opening() > 0;
     }) || std::any_of(services_.begin(), services_.end(), [](const auto &entry) {
         return !entry.second.waiting.empty();
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -129,6 +129,7 @@
     if (!session.transaction) {
         return;
     }
+    endRemotely(session);
     const ConnectionId id = session.transaction->connection;
     session.transaction.reset();
     if (const auto at = connections_.find(id); id != 0 && at != connections_.end()) {
@@ -163,7 +164,7 @@
     operation.writes = writes(session, statement);
     if (session.transaction) {
         const CallerTransaction &transaction = *session.transaction;
-        operation.role = transaction.connection == 0 ? PendingStatement::Role::First : PendingStatement::Role::Next;
+        operation.role = transaction.connection == 0 && transaction.home.empty() ? PendingStatement::Role::First : PendingStatement::Role::Next;
         operation.route = transaction.route;
         operation.freshAt = transaction.beganAt;
         operation.needsPrimary = !transaction.readOnly || operation.route->guarantee == ReadGuarantee::Primary;
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -7,6 +7,12 @@
 
 void ProxyCore::tick(Instant now)
 {
+    for (const SessionId guest : std::exchange(finishedGuests_, {})) {
+        if (const Session *session = find(guest); session != nullptr && !session->operation && !session->transaction) {
+            guests_.erase({ session->guest->entry, session->guest->channel });
+            sessions_.erase(guest);
+        }
+    }
     checkOpening(now);
     checkOperations(now);
     checkConnections(now);
@@ -47,7 +53,9 @@
             continue;
         }
         PendingStatement &operation = *session->operation;
-        if (operation.connection != 0) {
+        if (!operation.home.empty()) {
+            checkRemote(now, *session);
+        } else if (operation.connection != 0) {
             checkRunning(now, *session);
         } else if (operation.role == PendingStatement::Role::Next) {
             if (now >= operation.deadline) {
@@ -173,7 +181,7 @@
         return;
     }
     for (auto &[id, pool] : pools_) {
-        if (pool.connections().empty() && pool.mayOpen(now)) {
+        if (pool.connections().empty() && pool.quota() > 0 && pool.mayOpen(now)) {
             BackendConnection &connection = pool.open(now, nextConnection_++);
             connections_[connection.id] = id;
             metrics_.add("connections_opened_total");
@@ -183,8 +191,13 @@
     for (auto &[id, service] : services_) {
         const std::optional<Instant> newest = service.freshness.newest();
         const bool due = !newest || now - *newest >= timing_.sampleInterval;
-        if (due && now - service.sampledAt >= timing_.sampleInterval / 2) {
-            sample(now, id, service);
+        if ((due || !service.askers.empty()) && now - service.sampledAt >= timing_.sampleInterval / 2) {
+            const BackendPool *pool = poolOf(service.primary.backend);
+            if (pool != nullptr && pool->quota() == 0 && homes_.contains(service.primary.backend)) {
+                askPosition(now, id, service);
+            } else {
+                sample(now, id, service);
+            }
         }
     }
 }
@@ -197,8 +210,9 @@
     for (const auto &[id, service] : services_) {
         const BackendPool *pool = poolOf(service.primary.backend);
         const std::optional<Instant> answered = pool == nullptr ? std::nullopt : pool->lastAnswer();
-        known += pool == nullptr ? 0 : 1;
-        silent += pool != nullptr && (!answered || now - *answered > timing_.isolation) ? 1 : 0;
+        const bool local = pool != nullptr && pool->quota() > 0;
+        known += local ? 1 : 0;
+        silent += local && (!answered || now - *answered > timing_.isolation) ? 1 : 0;
     }
     const bool isolated
         = heardControlAt_ && now - *heardControlAt_ > timing_.isolation && known > 0 && 2 * silent > known;
@@ -217,6 +231,9 @@
 {
     constexpr Duration Quiet = std::chrono::milliseconds(50); // A request that is on its way has arrived by then.
     for (auto &[id, session] : sessions_) {
+        if (session.guest) {
+            continue;
+        }
         const bool resting = !session.operation && !session.transaction && now - session.lastActive > Quiet;
         if (resting || (transactionsToo && !session.operation)) {
             actions_.emplace_back(CloseSession { id });
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -11,7 +11,7 @@
     }
     return services_
         .emplace(service,
-            Service { {}, false, FreshnessHistory(timing_.sampleSpacing, timing_.sampleAge), {}, {}, 0 })
+            Service { {}, false, FreshnessHistory(timing_.sampleSpacing, timing_.sampleAge), {}, {}, 0, {}, {} })
         .first->second;
 }
 
@@ -24,10 +24,20 @@
     if (update.topology) {
         applyTopology(now, *update.topology);
     }
+    if (update.homes) {
+        homes_.clear();
+        homesVersion_ = update.homesVersion;
+        for (const BackendHomes &homes : *update.homes) {
+            homes_[homes.backend] = homes.entries;
+        }
+        log_.log(now, "homes.changed",
+            { { "version", homesVersion_ }, { "servers", std::uint64_t { homes_.size() } } });
+    }
     for (const ConnectionQuota &quota : update.quotas) {
         quotas_[quota.backend] = quota.connections;
         if (BackendPool *pool = poolOf(quota.backend); pool != nullptr) {
             pool->setQuota(quota.connections);
+            closeSurplus(now, *pool);
         }
     }
     for (auto &[id, service] : services_) {
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -13,11 +13,19 @@
 /// A leader that does not answer for longer may not be one any more; two elections fit into it.
 static constexpr Duration ControlSilence = std::chrono::milliseconds(700);
 static constexpr Duration ControlRotation = std::chrono::milliseconds(150);
+static std::uint64_t drawNumber()
+{
+    std::random_device device;
+    constexpr unsigned HalfBits = 32;
+    return (std::uint64_t { device() } << HalfBits) | device();
+}
+
 static constexpr Duration SettingsInterval = std::chrono::seconds(2);
 
 EntryNode::EntryNode(NodeContext &context)
     : context_(context)
-    , core_(context.settings.zone, context.log, context.metrics)
+    , run_(drawNumber())
+    , core_(context.settings.zone, context.log, context.metrics, run_)
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
     , mesh_(context.io, context.settings.id, context.settings.peerPort,
@@ -26,8 +34,6 @@
     , controlVms_(context.settings.seeds)
     , reportInterval_(FirstReportInterval)
 {
-    std::random_device device;
-    run_ = (std::uint64_t { device() } << 32U) | device();
 }
 
 CallerLinks::Hooks EntryNode::callerHooks()
@@ -75,6 +81,9 @@
     if (Expected<void> listening = callers_.listen(context_.settings.callers); !listening) {
         return listening;
     }
+    if (Expected<void> listening = mesh_.listen(); !listening) {
+        return listening;
+    }
     health_ = std::make_unique<HttpServer>(context_.io, HttpServerOptions {},
         [this](const HttpRequest &request, const HttpReply &reply) { serveHealth(request, reply); });
     if (Expected<void> listening = health_->listen(context_.settings.health); !listening) {
@@ -131,6 +140,8 @@
                 backends_.open(*open);
             } else if (auto *end = std::get_if<CloseBackendConnection>(&action); end != nullptr) {
                 backends_.close(end->connection);
+            } else if (auto *guest = std::get_if<SendToEntry>(&action); guest != nullptr) {
+                std::visit([&](auto &message) { mesh_.send(guest->to, std::move(message)); }, guest->message);
             }
         }
     }
@@ -202,13 +213,29 @@
 
 void EntryNode::onPeer(const VmId &from, ClusterPayload payload)
 {
-    if (const auto *update = std::get_if<EntryUpdate>(&payload); update != nullptr) {
+    const Instant now = Clock::now();
+    if (const auto *request = std::get_if<GuestRequest>(&payload); request != nullptr) {
+        core_.onGuestRequest(now, from, *request);
+        perform();
+    } else if (const auto *answer = std::get_if<GuestAnswer>(&payload); answer != nullptr) {
+        core_.onGuestAnswer(now, from, *answer);
+        perform();
+    } else if (const auto *end = std::get_if<GuestEnd>(&payload); end != nullptr) {
+        core_.onGuestEnd(now, from, *end);
+        perform();
+    } else if (const auto *asked = std::get_if<PositionRequest>(&payload); asked != nullptr) {
+        core_.onPositionRequest(now, from, *asked);
+        perform();
+    } else if (const auto *position = std::get_if<PositionAnswer>(&payload); position != nullptr) {
+        core_.onPositionAnswer(now, from, *position);
+        perform();
+    } else if (const auto *update = std::get_if<EntryUpdate>(&payload); update != nullptr) {
         onUpdate(from, *update);
     } else if (const auto *hint = std::get_if<LeaderHint>(&payload); hint != nullptr) {
         if (!hint->leader.empty() && hint->leader != control_) {
             control_ = hint->leader;
-            triedAt_ = Clock::now();
-            report(triedAt_);
+            triedAt_ = now;
+            report(now);
         }
     }
 }
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -30,6 +30,7 @@
     void serveHealth(const HttpRequest &request, const HttpReply &reply);
 
     NodeContext &context_;
+    std::uint64_t run_; ///< Drawn at each start.
     ProxyCore core_;
     CallerLinks callers_;
     BackendLinks backends_;
@@ -47,7 +48,6 @@
     Instant reportedAt_ {};
     Instant settingsReadAt_ {};
     Duration reportInterval_;
-    std::uint64_t run_ = 0;
     std::uint64_t sequence_ = 0;
     Term leaderTerm_ = 0;
 };
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -70,9 +70,7 @@
         }
     }
     answerWaiting(now);
-    if (changed) {
-        pushAll(now);
-    }
+    pushDue_ = pushDue_ || changed;
 }
 
 void Supervisor::logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index)
@@ -149,6 +147,14 @@
         return;
     }
     entries_.expire(now);
+    if (now - homesCheckedAt_ >= timing_.homesInterval) {
+        homesCheckedAt_ = now;
+        if (entries_.assignHomes(now, state_)) {
+            log_.log(now, "homes.assigned",
+                { { "version", entries_.homesVersion() },
+                    { "entries", std::uint64_t { entries_.sessions().size() } } });
+        }
+    }
     forgetSilentBackends(now);
     for (const auto &[id, backend] : state_.backends()) {
         watches_.try_emplace(backend.service, now, backend.service, timing_);
@@ -159,7 +165,7 @@
         watch.tick(now, context());
         replacing = replacing || before != watch.isReplacing();
     }
-    if (replacing) {
+    if (replacing || pushDue_) {
         pushAll(now);
     }
     answerWaiting(now);
@@ -180,8 +186,10 @@
     }
 }
 
+// Changes that come close together go out together.
 void Supervisor::pushAll(Instant now)
 {
+    pushDue_ = false;
     for (const auto &[entry, session] : entries_.sessions()) {
         push(now, entry, false);
     }
@@ -212,6 +220,10 @@
     if (always) {
         update.quotas = entries_.grant(now, entry, state_);
         update.controlVms = controlVms_;
+        update.homesVersion = entries_.homesVersion();
+        if (session.report.homesVersion != update.homesVersion) {
+            update.homes = entries_.homes();
+        }
     }
     for (const auto &[service, watch] : watches_) {
         if (watch.isReplacing()) {
--- a/unittests/supervision/entryregistrytest.cpp
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -87,3 +87,50 @@
     report("b", 5, 0);
     CHECK_EQUAL(5U, grant("b", 5));
 }
+
+TEST(EntryRegistry, WhereConnectionsAreScarceAFewEntriesHoldAllOfThem)
+{
+    RouteConfiguration configuration;
+    configuration.version = 2;
+    configuration.services.push_back({ ServiceId { "s" }, 25, 0 });
+    state.apply(3, PutConfiguration { configuration, "" });
+    for (int at = 0; at < 23; ++at) {
+        const std::string id = "b" + std::to_string(at);
+        state.apply(static_cast<std::uint64_t>(at) + 4,
+            RecordBackend { { BackendId { id }, 1, ServiceId { "s" }, "10.0.1." + std::to_string(at), 80, {}, 2, false, false } });
+    }
+    registry.reset(now);
+    constexpr int Entries = 79;
+    std::map<std::string, std::map<BackendId, std::uint32_t>> held;
+    for (int round = 0; round < 12; ++round) {
+        now += 500ms;
+        for (int at = 0; at < Entries; ++at) {
+            const std::string name = "e" + std::to_string(at);
+            EntryReport report;
+            report.run = 1;
+            report.sequence = ++sequence;
+            for (const auto &[backend, connections] : held[name]) {
+                report.held.push_back({ backend, connections });
+            }
+            registry.report(now, VmId { name }, report);
+            for (const ConnectionQuota &quota : registry.grant(now, VmId { name }, state)) {
+                held[name][quota.backend] = quota.connections;
+            }
+        }
+        registry.assignHomes(now, state);
+    }
+    CHECK_EQUAL(24U, registry.homes().size());
+    std::map<BackendId, std::uint32_t> sums;
+    for (const auto &[name, quotas] : held) {
+        for (const auto &[backend, connections] : quotas) {
+            sums[backend] += connections;
+        }
+    }
+    for (const BackendHomes &homes : registry.homes()) {
+        CHECK_EQUAL(HomesOfServer, homes.entries.size());
+        CHECK(sums[homes.backend] <= 23);
+        for (const VmId &home : homes.entries) {
+            CHECK_EQUAL(11U, held[home.value][homes.backend]);
+        }
+    }
+}
