--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -45,9 +45,9 @@
 class BackendPool
 {
 public:
-    BackendPool(BackendRecord record, const ProxyTiming &timing);
+    BackendPool(Instant now, BackendRecord record, const ProxyTiming &timing);
 
-    void update(const BackendRecord &record);
+    void update(Instant now, const BackendRecord &record);
     [[nodiscard]] const BackendRecord &record() const;
 
     /// Sets how many connections may be open.
@@ -107,6 +107,7 @@
     std::uint32_t errors_ = 0; ///< Statements that failed, in a row.
     Instant retryAt_ {};
     Instant avoidUntil_ {};
+    Instant drainingSince_ {}; ///< When this VM heard of it.
     std::optional<Instant> lastAnswer_;
     std::size_t peak_ = 0;
     Instant peakAt_ {};
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -27,7 +27,9 @@
     Duration knownOutage = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
     double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
     double longestHold = 0.3; ///< The same, as a part of the statement's timeout.
-    std::uint32_t mostAttempts = 5; ///< For one statement that did not run.
+    Duration drainUse = std::chrono::milliseconds(3000); ///< A server that leaves gets work for so long at most, if no
+                                                         ///< other can run it; it stays for seven seconds.
+    std::uint32_t mostAttempts = 6; ///< For one statement that did not run.
     std::size_t mostPrepared = 64; ///< Prepared statements on one connection.
     std::size_t mostSessionNames = 256; ///< Prepared statements, and values, of one session.
 };
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -7,11 +7,12 @@
 /// Expected of a server that has not answered anything yet.
 static constexpr Duration UnknownTime = std::chrono::milliseconds(10);
 
-BackendPool::BackendPool(BackendRecord record, const ProxyTiming &timing) : record_(std::move(record)), timing_(timing)
+BackendPool::BackendPool(Instant now, BackendRecord record, const ProxyTiming &timing)
+    : record_(std::move(record)), timing_(timing), drainingSince_(now)
 {
 }
 
-void BackendPool::update(const BackendRecord &record)
+void BackendPool::update(Instant now, const BackendRecord &record)
 {
     if (record.bornMs != record_.bornMs) {
         failures_ = 0;
@@ -19,6 +20,9 @@
         retryAt_ = {};
         avoidUntil_ = {};
     }
+    if (record.draining && !record_.draining) {
+        drainingSince_ = now;
+    }
     record_ = record;
 }
 
@@ -173,7 +177,8 @@
 
 bool BackendPool::usable(Instant now) const
 {
-    return now >= avoidUntil_ && (idle() + opening() > 0 || failures_ == 0 || now >= retryAt_);
+    const bool leaves = record_.draining && now - drainingSince_ > timing_.drainUse;
+    return !leaves && now >= avoidUntil_ && (idle() + opening() > 0 || failures_ == 0 || now >= retryAt_);
 }
 
 bool BackendPool::suspect(Instant now) const
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -120,14 +120,16 @@
     return Placement::Waits;
 }
 
-BackendPool *ProxyCore::cheapest(Instant now, const PendingStatement &operation, const Service &service, bool idleOnly)
+BackendPool *ProxyCore::cheapest(
+    Instant now, const PendingStatement &operation, const Service &service, bool idleOnly, bool guest)
 {
     BackendPool *best = nullptr;
     Duration bestCost {};
     bool bestDrains = false;
     for (auto &[id, pool] : pools_) {
         if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
-            || pool.suspect(now) || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
+            || pool.suspect(now) || (guest && pool.record().draining && id != service.primary.backend)
+            || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
             continue;
         }
         Duration cost = pool.cost() + (pool.record().zone == zone_ ? Duration::zero() : timing_.zoneCost);
@@ -146,7 +148,7 @@
 
 ProxyCore::Placement ProxyCore::placeRead(Instant now, Session &session, Service &service, const LogPoint &since)
 {
-    BackendPool *wanted = cheapest(now, *session.operation, service, false);
+    BackendPool *wanted = cheapest(now, *session.operation, service, false, session.guest.has_value());
     if (wanted == nullptr) {
         if (!session.operation->tried.empty()) {
             session.operation->tried.clear();
@@ -158,7 +160,7 @@
         }
         return Placement::Waits;
     }
-    BackendPool *chosen = wanted->idle() > 0 ? wanted : cheapest(now, *session.operation, service, true);
+    BackendPool *chosen = wanted->idle() > 0 ? wanted : cheapest(now, *session.operation, service, true, session.guest.has_value());
     if (chosen != wanted) {
         openFor(now, *wanted, service.waiting.size() - service.waitingForPrimary);
     }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -217,6 +217,10 @@
     operation.connection = 0;
     operation.lastRefusal = code == AnswerCode::UnknownStatement ? AnswerCode::Busy : code;
     metrics_.add(std::string("retries_total{code=\"") + std::string(answerCodeName(code)) + "\"}");
+    if (code == AnswerCode::NotPrimary) {
+        // Control is about to name another one; only the time that is left counts.
+        --operation.attempts;
+    }
     if (operation.attempts >= timing_.mostAttempts || now + timing_.busyBackoff >= operation.deadline) {
         refuse(now, session, operation.lastRefusal, "attempts-used", timing_.longestBackoff / 4);
         return;
@@ -226,7 +230,7 @@
     }
     if (operation.needsPrimary) {
         operation.tried.clear();
-        operation.retryAt = now + timing_.busyBackoff;
+        operation.retryAt = now + timing_.busyBackoff * (1U << std::min(operation.attempts, 4U));
     }
     Service &service = serviceOf(operation.route->service);
     service.waiting.insert({ operation.route->priority, operation.arrivedAt, session.id });
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -81,9 +81,9 @@
     for (const BackendRecord &record : topology.backends) {
         present.insert(record.id);
         if (BackendPool *pool = poolOf(record.id); pool != nullptr) {
-            pool->update(record);
+            pool->update(now, record);
         } else {
-            BackendPool &added = pools_.emplace(record.id, BackendPool(record, timing_)).first->second;
+            BackendPool &added = pools_.emplace(record.id, BackendPool(now, record, timing_)).first->second;
             added.setQuota(quotas_[record.id]);
         }
     }
--- /dev/null
+++ b/unittests/proxy/fakeservice.h
@@ -0,0 +1,111 @@
+// Backend servers with a replicated log in memory, and callers in front of a ProxyCore. Checks what sessions are
+// promised, from what callers and servers see.
+#pragma once
+
+#include "daisyrelay/proxy.h"
+
+#include <deque>
+#include <functional>
+#include <random>
+#include <set>
+
+namespace daisyrelay {
+
+class FakeService
+{
+public:
+    struct Write {
+        std::string id; ///< Of the caller's statement.
+        std::string item;
+        std::string data;
+        std::uint64_t number = 0; ///< In the order in which the service committed.
+    };
+
+    struct Server {
+        LogPoint applied { 1, 0 };
+        bool silent = false; ///< Takes statements and answers nothing.
+        bool busy = false; ///< Refuses to run anything.
+        bool losesAnswers = false; ///< Breaks the connection instead of answering what it ran.
+        std::uint64_t run = 0; ///< Statements with an id.
+    };
+
+    struct Connection {
+        std::string server;
+        bool inTransaction = false;
+        bool readOnly = false;
+        std::vector<Write> pending;
+        std::map<std::string, std::string> values;
+        std::map<std::string, std::string> prepared; ///< Name to verb and shape.
+        std::string owner; ///< The caller whose transaction it carries.
+    };
+
+    struct Caller {
+        std::string name;
+        std::map<std::string, std::string> values;
+        std::deque<CallerAnswer> answers;
+        bool greeted = false;
+        bool closed = false;
+    };
+
+    Instant now { std::chrono::hours(1) };
+    std::vector<std::string> lines;
+    EventLog log { [this](std::string_view line) { lines.emplace_back(line); }, 1000 };
+    Metrics metrics;
+    ProxyCore core { ZoneId { "z0" }, log, metrics, 1000 };
+    std::map<std::string, Server> servers;
+    std::map<ConnectionId, Connection> connections;
+    std::map<SessionId, Caller> callers;
+    std::map<std::string, SessionId> ownerOfStatement;
+    std::string primary = "b0";
+    Term term = 1;
+    std::vector<Write> committed;
+    std::map<std::string, int> commitsOf; ///< Statement id to the number of times its write is in the log.
+    std::string violation;
+    std::set<std::string> refusesConnections;
+
+    explicit FakeService(std::size_t size = 3);
+
+    void configure(ReadGuarantee guarantee, std::chrono::milliseconds timeout = std::chrono::milliseconds(800));
+
+    /// Tells the core about servers, primary and quotas.
+    void announce(std::uint32_t quota = 4);
+
+    SessionId open(const std::string &name);
+    std::string send(SessionId session, StatementType kind, const std::string &rest = "", const std::string &more = "");
+
+    /// Lets time pass; replicas apply what is older than \p lag.
+    void run(Duration duration);
+
+    /// Makes another server lead; what it has not applied is gone.
+    void promote(const std::string &server);
+
+    /// Returns the next answer of a caller, running until it has come.
+    CallerAnswer answer(SessionId session, Duration most = std::chrono::seconds(3));
+
+    Duration lag = std::chrono::milliseconds(20);
+
+private:
+    struct Due {
+        Instant at;
+        std::function<void()> act;
+    };
+
+    void perform();
+    void later(Duration delay, std::function<void()> act);
+    void runExchange(const RunExchange &exchange);
+    BackendAnswer runStatement(Connection &connection, const Statement &statement);
+    BackendAnswer runRead(Connection &connection, const Statement &statement, const std::string &item);
+    void commit(Connection &connection, const std::string &id);
+    void checkPinned(const Connection &connection, const Statement &statement);
+    void replicate();
+
+    std::deque<std::pair<Instant, std::uint64_t>> history_; ///< When the primary committed up to a number.
+    std::uint64_t nextId_ = 1;
+    SessionId nextSession_ = 1;
+    std::uint64_t nextNumber_ = 1;
+    std::uint64_t topologyIndex_ = 1;
+    std::vector<Due> due_;
+    std::map<std::string, std::uint64_t> ackedNumber_;
+};
+
+} // namespace daisyrelay
