--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -71,9 +71,18 @@
     /// A statement failed although the server answered, or got no answer.
     void failed(Instant now);
 
+    /// It refused a read since its log was too far behind.
+    void noteLag(Instant now);
+
+    /// Whether it did so a moment ago.
+    [[nodiscard]] bool lags(Instant now) const;
+
     /// Returns idle connections above the quota.
     [[nodiscard]] std::vector<ConnectionId> surplus() const;
 
+    /// Returns a connection that has not been needed for long, if there is one to spare.
+    [[nodiscard]] std::optional<ConnectionId> unneeded(Instant now) const;
+
     [[nodiscard]] std::size_t inUse() const;
     [[nodiscard]] std::size_t idle() const;
     [[nodiscard]] std::size_t opening() const;
@@ -107,6 +116,7 @@
     std::uint32_t errors_ = 0; ///< Statements that failed, in a row.
     Instant retryAt_ {};
     Instant avoidUntil_ {};
+    Instant laggedAt_ {};
     Instant drainingSince_ {}; ///< When this VM heard of it.
     std::optional<Instant> lastAnswer_;
     std::size_t peak_ = 0;
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -137,7 +137,8 @@
 
     // guests.cpp
     Placement placeRemotely(Instant now, Session &session, Service &service, bool atPrimary);
-    const BackendId *remoteServer(const PendingStatement &operation, const Service &service, bool atPrimary) const;
+    const BackendId *remoteServer(
+        Instant now, const PendingStatement &operation, const Service &service, bool atPrimary) const;
     const VmId *homeOf(Instant now, const BackendId &backend) const;
     void sendToHome(Instant now, Session &session, const VmId &home, bool atPrimary);
     void endRemotely(Session &session);
@@ -180,6 +181,7 @@
     void checkConnections(Instant now);
     void hedge(Instant now, Session &session);
     void checkIdleTransactions(Instant now);
+    void closeUnneeded(Instant now);
     void keepSamples(Instant now);
     void advanceDrain(Instant now);
     void checkIsolation(Instant now);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -27,6 +27,9 @@
     Duration knownOutage = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
     double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
     double longestHold = 0.3; ///< The same, as a part of the statement's timeout.
+    Duration lagMemory = std::chrono::milliseconds(150); ///< A replica that lagged is asked last for so long.
+    Duration unneededAfter = std::chrono::seconds(3); ///< Idle connections above one are closed then: those of a VM that
+                                                      ///< loses its power stand in the way of its next start.
     Duration drainUse = std::chrono::milliseconds(3000); ///< A server that leaves gets work for so long at most, if no
                                                          ///< other can run it; it stays for seven seconds.
     std::uint32_t mostAttempts = 6; ///< For one statement that did not run.
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -25,10 +25,12 @@
     Duration entrySilence = std::chrono::milliseconds(1500); ///< The word of an entry silent for longer does not count.
     Duration entryGone = std::chrono::seconds(6); ///< Its connections are given to others after this.
     Duration homesInterval = std::chrono::milliseconds(250); ///< Between two checks of who holds connections.
+    Duration homesDelay = std::chrono::milliseconds(2500); ///< A new leader leaves homes as they are for so long: all
+                                                           ///< entries have found it by then.
     Duration quotaDelay = std::chrono::milliseconds(700); ///< A new leader hears all entries before it grants.
     Duration pushRetry = std::chrono::milliseconds(1000); ///< What an entry did not confirm is sent again after this.
     Duration reportInterval = std::chrono::milliseconds(200); ///< Of each entry, while there are few.
-    Duration reportCost = std::chrono::milliseconds(15); ///< With many entries, one report in this time altogether.
+    Duration reportCost = std::chrono::milliseconds(5); ///< With many entries, one report in this time altogether.
 };
 
 /// Connections to each backend server that no entry gets: for the leader's probes and for those that linger.
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -49,6 +49,7 @@
     std::uint64_t configVersion = 0; ///< In force on the entry.
     std::uint64_t topologyIndex = 0; ///< Of the topology that it holds.
     std::uint64_t homesVersion = 0; ///< Of the homes that it knows.
+    bool leaving = false; ///< It ends soon and should hold nothing that others need.
     std::vector<ConnectionQuota> held; ///< The quotas that it counts on; only it lowers them.
     std::vector<ConnectionQuota> wanted; ///< Where they differ from `held`.
     std::vector<PrimaryObservation> primaries;
@@ -56,7 +57,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(name, zone, run, sequence, configVersion, topologyIndex, homesVersion, held, wanted, primaries);
+        archive(name, zone, run, sequence, configVersion, topologyIndex, homesVersion, leaving, held, wanted, primaries);
     }
 };
 
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -130,6 +130,29 @@
     }
 }
 
+void BackendPool::noteLag(Instant now)
+{
+    laggedAt_ = now;
+}
+
+bool BackendPool::lags(Instant now) const
+{
+    return now - laggedAt_ < timing_.lagMemory;
+}
+
+std::optional<ConnectionId> BackendPool::unneeded(Instant now) const
+{
+    const auto oldest = std::min_element(
+        connections_.begin(), connections_.end(), [](const auto &left, const auto &right) {
+            const auto key = [](const BackendConnection &connection) {
+                return std::pair(connection.use != BackendConnection::Use::Idle, connection.since);
+            };
+            return key(left.second) < key(right.second);
+        });
+    const bool spare = idle() > 1 && now - oldest->second.since > timing_.unneededAfter;
+    return spare ? std::optional(oldest->first) : std::nullopt;
+}
+
 std::vector<ConnectionId> BackendPool::surplus() const
 {
     std::vector<ConnectionId> found;
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -92,7 +92,7 @@
         if (!session.guest) {
             return placeRemotely(now, session, service, true);
         }
-        refuse(now, session, AnswerCode::Busy, "not-a-home", timing_.busyBackoff);
+        refuse(now, session, AnswerCode::WrongBackend, "not-a-home", timing_.busyBackoff);
         return Placement::Refused;
     }
     const bool works = pool != nullptr && pool->usable(now) && !pool->suspect(now);
@@ -136,6 +136,9 @@
         if (id == service.primary.backend) {
             cost += pool.meanTime(); // Its slots are wanted by what runs nowhere else.
         }
+        if (pool.lags(now)) {
+            cost += timing_.suspicion;
+        }
         const bool drains = pool.record().draining;
         if (best == nullptr || (bestDrains && !drains) || (bestDrains == drains && cost < bestCost)) {
             best = &pool;
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -41,7 +41,7 @@
 }
 
 const BackendId *ProxyCore::remoteServer(
-    const PendingStatement &operation, const Service &service, bool atPrimary) const
+    Instant now, const PendingStatement &operation, const Service &service, bool atPrimary) const
 {
     if (atPrimary) {
         return &service.primary.backend;
@@ -54,7 +54,8 @@
         }
         constexpr int Draining = 4;
         constexpr int Primary = 2; // Its slots are wanted by what runs nowhere else.
-        const int rank = (pool.record().draining ? Draining : 0) + (id == service.primary.backend ? Primary : 0)
+        constexpr int Lagging = 8;
+        const int rank = (pool.lags(now) ? Lagging : 0) + (pool.record().draining ? Draining : 0) + (id == service.primary.backend ? Primary : 0)
             + (pool.record().zone == zone_ ? 0 : 1);
         const bool turn = rank == bestRank && (nextSequence_ & 1U) == 0;
         if (best == nullptr || rank < bestRank || turn) {
@@ -68,7 +69,7 @@
 ProxyCore::Placement ProxyCore::placeRemotely(Instant now, Session &session, Service &service, bool atPrimary)
 {
     PendingStatement &operation = *session.operation;
-    const BackendId *backend = remoteServer(operation, service, atPrimary);
+    const BackendId *backend = remoteServer(now, operation, service, atPrimary);
     const VmId *home = backend == nullptr ? nullptr : homeOf(now, *backend);
     if (home == nullptr) {
         if (backend == nullptr) {
@@ -171,22 +172,31 @@
         succeedRemotely(now, *session, from, reply);
         return;
     }
-    const bool promised = reply.answer.code == AnswerCode::Busy || reply.answer.code == AnswerCode::Lagging
+    const bool promised = reply.answer.code == AnswerCode::Busy || reply.answer.code == AnswerCode::WrongBackend
+        || reply.answer.code == AnswerCode::Lagging
         || reply.answer.code == AnswerCode::NotPrimary || reply.answer.code == AnswerCode::Aborted;
     if (promised && operation.role != PendingStatement::Role::Next && operation.attempts < timing_.mostAttempts
         && now < operation.holdUntil) {
-        operation.lastRefusal = reply.answer.code;
-        operation.retryAt = now + timing_.busyBackoff;
-        if (!operation.needsPrimary) {
+        const bool wrongHome = reply.answer.code == AnswerCode::WrongBackend;
+        operation.lastRefusal = wrongHome ? AnswerCode::Busy : reply.answer.code;
+        operation.retryAt = operation.needsPrimary && !wrongHome ? now + timing_.busyBackoff : now;
+        if (wrongHome) {
+            state.avoidUntil = now + AvoidFor;
+        } else if (!operation.needsPrimary) {
             operation.tried.insert(operation.remoteBackend);
         }
+        if (BackendPool *pool = poolOf(operation.remoteBackend);
+            pool != nullptr && reply.answer.code == AnswerCode::Lagging) {
+            pool->noteLag(now);
+        }
         Service &service = serviceOf(operation.route->service);
         service.waiting.insert({ operation.route->priority, operation.arrivedAt, session->id });
         service.waitingForPrimary += operation.needsPrimary ? 1 : 0;
+        dispatch(now, operation.route->service);
         return;
     }
     BackendAnswer failed;
-    failed.code = reply.answer.code;
+    failed.code = reply.answer.code == AnswerCode::WrongBackend ? AnswerCode::Busy : reply.answer.code;
     failed.detail = reply.answer.detail;
     fail(now, *session, failed);
 }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -221,6 +221,14 @@
         // Control is about to name another one; only the time that is left counts.
         --operation.attempts;
     }
+    if (code == AnswerCode::Lagging) {
+        pool.noteLag(now);
+    }
+    if (session.guest && !operation.needsPrimary) {
+        // The entry that sent it knows other servers.
+        refuse(now, session, operation.lastRefusal, "try-elsewhere", Duration::zero());
+        return;
+    }
     if (operation.attempts >= timing_.mostAttempts || now + timing_.busyBackoff >= operation.deadline) {
         refuse(now, session, operation.lastRefusal, "attempts-used", timing_.longestBackoff / 4);
         return;
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -106,6 +106,7 @@
     report.configVersion = configVersion_;
     report.topologyIndex = topologyIndex_;
     report.homesVersion = homesVersion_;
+    report.leaving = drainSince_.has_value();
     for (const auto &[id, pool] : pools_) {
         const auto open = static_cast<std::uint32_t>(const_cast<BackendPool &>(pool).connections().size());
         if (const std::uint32_t held = std::max(pool.quota(), open); held > 0) {
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -20,6 +20,7 @@
     if (now - checkedIdleAt_ >= IdleCheck) {
         checkedIdleAt_ = now;
         checkIdleTransactions(now);
+        closeUnneeded(now);
         checkIsolation(now);
         advanceDrain(now);
     }
@@ -174,6 +175,15 @@
     }
 }
 
+void ProxyCore::closeUnneeded(Instant now)
+{
+    for (auto &[id, pool] : pools_) {
+        if (const std::optional<ConnectionId> connection = pool.unneeded(now); connection) {
+            closeConnection(now, pool, *connection, ConnectionLoss::Broken);
+        }
+    }
+}
+
 // Keeps one connection to each server warm, and a recent position of each primary.
 void ProxyCore::keepSamples(Instant now)
 {
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -11,7 +11,7 @@
 static constexpr Duration QuietTick = std::chrono::milliseconds(50);
 static constexpr Duration FirstReportInterval = std::chrono::milliseconds(100);
 /// A leader that does not answer for longer may not be one any more; two elections fit into it.
-static constexpr Duration ControlSilence = std::chrono::milliseconds(700);
+static constexpr Duration ControlSilence = std::chrono::milliseconds(600);
 static constexpr Duration ControlRotation = std::chrono::milliseconds(150);
 static std::uint64_t drawNumber()
 {
@@ -115,6 +115,7 @@
 {
     draining_ = true;
     core_.drain(Clock::now(), context_.settings.grace);
+    report(Clock::now());
     tick();
 }
 
@@ -178,8 +179,9 @@
 
 void EntryNode::chooseControl(Instant now)
 {
-    if (now - heardAt_ < std::max(ControlSilence, 3 * reportInterval_) || now - triedAt_ < ControlRotation
-        || controlVms_.empty()) {
+    // A leader answers each report at once.
+    const bool answering = !unansweredSince_ || now - *unansweredSince_ < ControlSilence;
+    if ((knowsLeader_ && answering) || now - triedAt_ < ControlRotation || controlVms_.empty()) {
         return;
     }
     if (knowsLeader_) {
@@ -203,6 +205,7 @@
         return;
     }
     reportedAt_ = now;
+    unansweredSince_ = unansweredSince_.value_or(now);
     EntryReport report;
     report.name = context_.settings.name;
     report.run = run_;
@@ -254,6 +257,7 @@
     knowsLeader_ = true;
     control_ = from;
     heardAt_ = now;
+    unansweredSince_.reset();
     reportInterval_ = std::chrono::milliseconds(std::max(update.reportIntervalMs, 50U));
     if (!update.controlVms.empty()) {
         controlVms_ = update.controlVms;
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -44,6 +44,7 @@
     bool knowsLeader_ = false;
     std::size_t nextControl_ = 0;
     Instant heardAt_ {};
+    std::optional<Instant> unansweredSince_; ///< The first report that the leader has not answered.
     Instant triedAt_ {};
     Instant reportedAt_ {};
     Instant settingsReadAt_ {};
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -15,7 +15,7 @@
     homes_.clear();
     totals_.clear();
     // Entries keep what the former leader told them until this one knows better.
-    homesVersion_ = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    homesVersion_ = 0;
 }
 
 bool EntryRegistry::report(Instant now, const VmId &entry, const EntryReport &report)
@@ -124,7 +124,11 @@
 {
     std::map<BackendId, std::vector<VmId>> chosen;
     std::map<VmId, std::size_t> roles;
-    const bool early = now - since_ < timing_.quotaDelay;
+    const bool anyKnown = std::any_of(sessions_.begin(), sessions_.end(),
+        [](const auto &entry) { return entry.second.report.homesVersion != 0; });
+    if (homesVersion_ == 0 && now - since_ < (anyKnown ? timing_.homesDelay : timing_.quotaDelay)) {
+        return false;
+    }
     for (const auto &[id, backend] : state.backends()) {
         const ServiceLimits *limits = state.limitsOf(backend.service);
         if (limits == nullptr || limits->connections >= ReservedConnections + DirectShare * sessions_.size()) {
@@ -132,7 +136,7 @@
         }
         // Whoever holds connections goes on, so that a new leader or a lost entry moves as few as possible.
         const auto score = [&, &id = id, &zone = backend.zone](const VmId &vm, const ReportedEntry &entry) {
-            const bool silent = now - entry.heardAt > timing_.entrySilence;
+            const bool silent = entry.report.leaving || now - entry.heardAt > timing_.entrySilence;
             const auto granted = entry.granted.find(id);
             const bool holds = granted != entry.granted.end() && granted->second >= DirectShare;
             return std::tuple(silent, !holds, entry.report.zone != zone, roles[vm], rankOf(vm, id));
@@ -147,12 +151,12 @@
             ++roles[ranked[at].second];
         }
     }
-    if (chosen == homes_ || early) {
+    if (chosen == homes_) {
         return false;
     }
     homes_ = std::move(chosen);
     totals_.clear();
-    ++homesVersion_;
+    homesVersion_ = std::max(homesVersion_ + 1, static_cast<std::uint64_t>(now.time_since_epoch().count()));
     return true;
 }
 
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -221,7 +221,7 @@
         update.quotas = entries_.grant(now, entry, state_);
         update.controlVms = controlVms_;
         update.homesVersion = entries_.homesVersion();
-        if (session.report.homesVersion != update.homesVersion) {
+        if (update.homesVersion != 0 && session.report.homesVersion != update.homesVersion) {
             update.homes = entries_.homes();
         }
     }
