Reach a primary through entries that others can not, and ask entries for news while control is silent

The leader now names entries that reach it, and entries ask peers for configuration and topology. Silence of a primary counts after 380 ms (450).

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -34,6 +34,12 @@
     /// The caller is gone, or sent something that makes no sense.
     void onSessionClosed(Instant now, SessionId session);
 
+    /// Answers another entry that can not reach control: what is newer here than there.
+    [[nodiscard]] EntryUpdate describeTo(const EntryReport &report) const;
+
+    /// Takes in what another entry knows; says nothing about control.
+    void onPeerUpdate(Instant now, const EntryUpdate &update);
+
     /// Messages of other entries.
     void onGuestRequest(Instant now, const VmId &from, const GuestRequest &request);
     void onGuestAnswer(Instant now, const VmId &from, const GuestAnswer &answer);
@@ -196,6 +202,8 @@
     EventLog &log_;
     Metrics &metrics_;
     ProxyTiming timing_;
+    RouteConfiguration configuration_;
+    Topology topology_;
     std::uint64_t configVersion_ = 0;
     std::uint64_t topologyIndex_ = 0;
     Duration transactionIdle_ {};
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -59,7 +59,7 @@
     ConnectionId connection = 0; ///< While it runs.
     VmId home; ///< The entry on which it runs, if not here.
     std::uint64_t sequence = 0; ///< Of the request to that entry.
-    BackendId remoteBackend; ///< The server that it was sent to that entry for.
+    BackendId backend; ///< The server that it was sent to last, directly or through that entry.
     std::set<BackendId> tried; ///< Servers that lag too far for it, or failed it.
     AnswerCode lastRefusal = AnswerCode::Busy;
 };
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -40,6 +40,9 @@
     /// Returns the quotas of \p entry that have to change, and counts on raised ones from now on.
     std::vector<ConnectionQuota> grant(Instant now, const VmId &entry, const SupervisionState &state);
 
+    /// Returns some entries other than \p entry that were heard lately, from different zones if there are.
+    [[nodiscard]] std::vector<VmId> peersOf(Instant now, const VmId &entry) const;
+
     /// Chooses anew which entries are homes. \returns whether any changed.
     bool assignHomes(Instant now, const SupervisionState &state);
 
@@ -66,7 +69,10 @@
     [[nodiscard]] std::uint32_t shareOf(const VmId &entry, const BackendId &backend, std::uint32_t usable) const;
 
     SupervisionTiming timing_;
+    [[nodiscard]] std::map<BackendId, std::vector<VmId>> findRelays(Instant now) const;
+
     std::map<BackendId, std::vector<VmId>> homes_;
+    std::map<BackendId, std::vector<VmId>> relays_; ///< Entries that reach a primary which others do not.
     std::uint64_t homesVersion_ = 0;
     /// The sum of the claims of all entries on a backend server, as long as neither entries nor homes change.
     struct Total {
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -10,8 +10,8 @@
                                                           ///< operators ask elsewhere after a second.
     Duration probeInterval = std::chrono::milliseconds(100); ///< Between two probes of a primary.
     Duration settleInterval = std::chrono::milliseconds(15); ///< Between two probes of a backend server being promoted.
-    Duration probeTimeout = std::chrono::milliseconds(350); ///< A probe waits for no slot, so it is answered at once.
-    Duration silence = std::chrono::milliseconds(450); ///< A primary without proof of life for longer is replaced.
+    Duration probeTimeout = std::chrono::milliseconds(250); ///< A probe waits for no slot, so it is answered at once.
+    Duration silence = std::chrono::milliseconds(380); ///< A primary without proof of life for longer is replaced.
     Duration refusal = std::chrono::milliseconds(150); ///< The same, if its host refuses connections.
     Duration deposed = std::chrono::milliseconds(300); ///< The same, if it says that it does not lead.
     Duration partlyCut = std::chrono::milliseconds(1000); ///< The same, if most entries can not reach it.
@@ -39,6 +39,9 @@
 /// Connections to a backend server that each entry must be able to hold; with fewer, a few entries hold all of them.
 constexpr std::size_t DirectShare = 2;
 
+/// Entries that pass statements on to a primary which others can not reach.
+constexpr std::size_t RelaysOfPrimary = 3;
+
 /// Entries that hold the connections of one backend server then. One may be lost.
 constexpr std::size_t HomesOfServer = 2;
 
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -97,6 +97,7 @@
     std::optional<Topology> topology; ///< If the entry has an older one.
     std::vector<ConnectionQuota> quotas; ///< Changed ones only.
     std::vector<VmId> controlVms;
+    std::vector<VmId> peers; ///< Some other entries, to be asked where no control VM can be reached.
     std::uint32_t reportIntervalMs = 0;
     std::uint64_t homesVersion = 0;
     std::optional<std::vector<BackendHomes>> homes; ///< If the entry has others.
@@ -105,7 +106,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, reportIntervalMs,
+        archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers, reportIntervalMs,
             homesVersion, homes, failingOver);
     }
 };
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -62,7 +62,7 @@
     if (operation.needsPrimary) {
         return placeAtPrimary(now, session, service);
     }
-    if (!session.guest && !hasLocalServer(operation.route->service)) {
+    if (!session.guest && !homes_.empty() && !hasLocalServer(operation.route->service)) {
         return placeRemotely(now, session, service, false);
     }
     const std::optional<LogPoint> since = positionFor(session, operation, service);
@@ -88,7 +88,8 @@
 ProxyCore::Placement ProxyCore::placeAtPrimary(Instant now, Session &session, Service &service)
 {
     BackendPool *pool = poolOf(service.primary.backend);
-    if (pool != nullptr && pool->quota() == 0 && homes_.contains(service.primary.backend)) {
+    const bool reached = pool != nullptr && pool->quota() > 0 && !pool->unreachable(now);
+    if (pool != nullptr && !reached && homes_.contains(service.primary.backend)) {
         if (!session.guest) {
             return placeRemotely(now, session, service, true);
         }
@@ -189,12 +190,20 @@
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(comeBack).count();
     metrics_.add(std::string("refused_total{reason=\"") + std::string(reason) + "\"}");
+    const Service &service = serviceOf(session.operation->route->service);
+    const BackendPool *primary = poolOf(service.primary.backend);
+    const std::optional<Instant> answered = primary == nullptr ? std::nullopt : primary->lastAnswer();
+    const std::optional<Instant> sampled = service.freshness.newest();
+    constexpr Duration Never = std::chrono::milliseconds(-1);
     log_.log(now, "request.refused",
         { { "request", std::string_view(session.operation->statement.id) }, { "reason", reason },
             { "database", std::string_view(session.database) },
             { "service", std::string_view(session.operation->route->service.value) },
             { "waited_ms", now - session.operation->arrivedAt },
             { "attempts", std::uint64_t { session.operation->attempts } },
+            { "primary", std::string_view(service.primary.backend.value) },
+            { "primary_answer_age_ms", answered ? now - *answered : Never },
+            { "position_age_ms", sampled ? now - *sampled : Never }, { "failing_over", service.failingOver },
             { "config_version", configVersion_ }, { "topology_index", topologyIndex_ } });
     CallerAnswer answer;
     answer.code = code;
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -93,6 +93,7 @@
     connection.deadline = std::max(operation.deadline, now + timing_.suspicion);
     connection.generation = pool.record().id == service.primary.backend ? service.primary.generation : 0;
     operation.connection = connection.id;
+    operation.backend = pool.record().id;
     operation.sentAt = now;
     operation.offered = true;
     ++operation.attempts;
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -12,7 +12,7 @@
 
 bool ProxyCore::hasLocalServer(const ServiceId &service) const
 {
-    return homes_.empty() || std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
+    return std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
         return entry.second.record().service == service && entry.second.quota() > 0;
     });
 }
@@ -80,7 +80,7 @@
         operation.retryAt = now + timing_.busyBackoff;
         return Placement::Waits;
     }
-    operation.remoteBackend = *backend;
+    operation.backend = *backend;
     const bool leads = *backend == service.primary.backend;
     const VmId target = *home;
     dequeue(session);
@@ -183,9 +183,9 @@
         if (wrongHome) {
             state.avoidUntil = now + AvoidFor;
         } else if (!operation.needsPrimary) {
-            operation.tried.insert(operation.remoteBackend);
+            operation.tried.insert(operation.backend);
         }
-        if (BackendPool *pool = poolOf(operation.remoteBackend);
+        if (BackendPool *pool = poolOf(operation.backend);
             pool != nullptr && reply.answer.code == AnswerCode::Lagging) {
             pool->noteLag(now);
         }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -271,7 +271,8 @@
     const bool unknown = (single && operation.writes) || (commits && session.transaction && session.transaction->wrote);
     const bool again = !unknown && operation.role != PendingStatement::Role::Next && now < operation.deadline;
     log_.log(now, "request.answer-lost",
-        { { "request", std::string_view(operation.statement.id) }, { "reason", reason }, { "in_doubt", unknown },
+        { { "request", std::string_view(operation.statement.id) }, { "reason", reason },
+            { "backend", std::string_view(operation.backend.value) }, { "in_doubt", unknown },
             { "again", again }, { "after_ms", now - operation.sentAt } });
     // What a connection had begun is rolled back with it, so only what may have been committed is in doubt.
     if (again && operation.attempts < timing_.mostAttempts) {
@@ -335,7 +336,8 @@
     log_.log(now, event,
         { { "request", std::string_view(operation.statement.id) }, { "outcome", answerCodeName(answer.code) },
             { "detail", std::string_view(answer.detail) }, { "session", session.id },
-            { "database", std::string_view(session.database) }, { "took_ms", took },
+            { "database", std::string_view(session.database) },
+            { "backend", std::string_view(operation.backend.value) }, { "took_ms", took },
             { "queued_ms", operation.offered ? operation.sentAt - operation.arrivedAt : took },
             { "attempts", std::uint64_t { operation.attempts } }, { "config_version", configVersion_ },
             { "topology_index", topologyIndex_ } });
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -199,11 +199,17 @@
         }
     }
     for (auto &[id, service] : services_) {
+        // A primary that other entries are asked to reach is tried again all the same.
+        BackendPool *primary = poolOf(service.primary.backend);
+        if (primary != nullptr && primary->unreachable(now) && primary->opening() == 0) {
+            openFor(now, *primary, 1);
+        }
         const std::optional<Instant> newest = service.freshness.newest();
         const bool due = !newest || now - *newest >= timing_.sampleInterval;
         if ((due || !service.askers.empty()) && now - service.sampledAt >= timing_.sampleInterval / 2) {
             const BackendPool *pool = poolOf(service.primary.backend);
-            if (pool != nullptr && pool->quota() == 0 && homes_.contains(service.primary.backend)) {
+            const bool reached = pool != nullptr && pool->quota() > 0 && !pool->unreachable(now);
+            if (pool != nullptr && !reached && homes_.contains(service.primary.backend)) {
                 askPosition(now, id, service);
             } else {
                 sample(now, id, service);
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -52,6 +52,33 @@
     }
 }
 
+EntryUpdate ProxyCore::describeTo(const EntryReport &report) const
+{
+    EntryUpdate update;
+    update.sequence = report.sequence;
+    update.configVersion = configVersion_;
+    if (report.configVersion < configVersion_) {
+        update.configuration = configuration_;
+    }
+    if (report.topologyIndex < topologyIndex_) {
+        update.topology = topology_;
+    }
+    return update;
+}
+
+void ProxyCore::onPeerUpdate(Instant now, const EntryUpdate &update)
+{
+    if (update.configuration) {
+        applyConfiguration(now, *update.configuration);
+    }
+    if (update.topology) {
+        applyTopology(now, *update.topology);
+    }
+    for (auto &[id, service] : services_) {
+        dispatch(now, id);
+    }
+}
+
 void ProxyCore::applyConfiguration(Instant now, const RouteConfiguration &configuration)
 {
     if (configuration.version <= configVersion_) {
@@ -61,6 +88,7 @@
         { { "version", configuration.version }, { "before", configVersion_ },
             { "routes", std::uint64_t { configuration.routes.size() } } });
     configVersion_ = configuration.version;
+    configuration_ = configuration;
     metrics_.set("config_version", static_cast<std::int64_t>(configVersion_));
     transactionIdle_ = configuration.transactionIdle;
     std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes;
@@ -77,6 +105,7 @@
         return;
     }
     topologyIndex_ = topology.index;
+    topology_ = topology;
     std::set<BackendId> present;
     for (const BackendRecord &record : topology.backends) {
         present.insert(record.id);
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -12,6 +12,7 @@
 static constexpr Duration FirstReportInterval = std::chrono::milliseconds(100);
 /// A leader that does not answer for longer may not be one any more; two elections fit into it.
 static constexpr Duration ControlSilence = std::chrono::milliseconds(600);
+static constexpr Duration PeerInterval = std::chrono::milliseconds(300);
 static constexpr Duration ControlRotation = std::chrono::milliseconds(150);
 static std::uint64_t drawNumber()
 {
@@ -191,6 +192,7 @@
         mesh_.reset(control_);
     }
     triedAt_ = now;
+    askPeers(now);
     control_ = controlVms_[nextControl_++ % controlVms_.size()];
     report(now);
     if (now - settingsReadAt_ > SettingsInterval) {
@@ -199,6 +201,18 @@
     }
 }
 
+// Another entry may know the next primary while no control VM can be reached from here.
+void EntryNode::askPeers(Instant now)
+{
+    if (peers_.empty() || now - askedPeersAt_ < PeerInterval) {
+        return;
+    }
+    askedPeersAt_ = now;
+    EntryReport report;
+    core_.fill(now, report);
+    mesh_.send(peers_[nextPeer_++ % peers_.size()], std::move(report));
+}
+
 void EntryNode::report(Instant now)
 {
     if (control_.empty()) {
@@ -232,8 +246,16 @@
     } else if (const auto *position = std::get_if<PositionAnswer>(&payload); position != nullptr) {
         core_.onPositionAnswer(now, from, *position);
         perform();
+    } else if (const auto *question = std::get_if<EntryReport>(&payload); question != nullptr) {
+        mesh_.send(from, core_.describeTo(*question));
     } else if (const auto *update = std::get_if<EntryUpdate>(&payload); update != nullptr) {
-        onUpdate(from, *update);
+        // Only a leader of the control VMs has a term.
+        if (update->leaderTerm == 0) {
+            core_.onPeerUpdate(now, *update);
+            perform();
+        } else {
+            onUpdate(from, *update);
+        }
     } else if (const auto *hint = std::get_if<LeaderHint>(&payload); hint != nullptr) {
         if (!hint->leader.empty() && hint->leader != control_) {
             control_ = hint->leader;
@@ -259,6 +281,9 @@
     heardAt_ = now;
     unansweredSince_.reset();
     reportInterval_ = std::chrono::milliseconds(std::max(update.reportIntervalMs, 50U));
+    if (!update.peers.empty()) {
+        peers_ = update.peers;
+    }
     if (!update.controlVms.empty()) {
         controlVms_ = update.controlVms;
     }
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -26,6 +26,7 @@
     void scheduleTick();
     void tick();
     void report(Instant now);
+    void askPeers(Instant now);
     void chooseControl(Instant now);
     void serveHealth(const HttpRequest &request, const HttpReply &reply);
 
@@ -42,6 +43,9 @@
     std::vector<VmId> controlVms_;
     VmId control_; ///< The control VM that reports go to.
     bool knowsLeader_ = false;
+    std::vector<VmId> peers_; ///< Entries to ask while control is silent.
+    std::size_t nextPeer_ = 0;
+    Instant askedPeersAt_ {};
     std::size_t nextControl_ = 0;
     Instant heardAt_ {};
     std::optional<Instant> unansweredSince_; ///< The first report that the leader has not answered.
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -13,6 +13,7 @@
     since_ = now;
     sessions_.clear();
     homes_.clear();
+    relays_.clear();
     totals_.clear();
     // Entries keep what the former leader told them until this one knows better.
     homesVersion_ = 0;
@@ -151,21 +152,68 @@
             ++roles[ranked[at].second];
         }
     }
-    if (chosen == homes_) {
+    std::map<BackendId, std::vector<VmId>> relays = findRelays(now);
+    if (chosen == homes_ && relays == relays_) {
         return false;
     }
+    relays_ = std::move(relays);
     homes_ = std::move(chosen);
     totals_.clear();
     homesVersion_ = std::max(homesVersion_ + 1, static_cast<std::uint64_t>(now.time_since_epoch().count()));
     return true;
 }
 
+// Where a primary is cut off from some entries only, those reach it through others.
+std::map<BackendId, std::vector<VmId>> EntryRegistry::findRelays(Instant now) const
+{
+    std::map<BackendId, std::vector<VmId>> answering;
+    std::set<BackendId> cut;
+    for (const auto &[vm, session] : sessions_) {
+        if (session.report.leaving || now - session.heardAt > timing_.entrySilence) {
+            continue;
+        }
+        for (const PrimaryObservation &seen : session.report.primaries) {
+            if (seen.unreachable) {
+                cut.insert(seen.backend);
+            } else if (seen.answering && answering[seen.backend].size() < RelaysOfPrimary) {
+                answering[seen.backend].push_back(vm);
+            }
+        }
+    }
+    std::erase_if(answering, [&](const auto &entry) { return !cut.contains(entry.first) || entry.second.empty(); });
+    return answering;
+}
+
+std::vector<VmId> EntryRegistry::peersOf(Instant now, const VmId &entry) const
+{
+    std::map<ZoneId, std::vector<VmId>> byZone;
+    for (const auto &[vm, session] : sessions_) {
+        if (vm != entry && now - session.heardAt < timing_.entrySilence) {
+            byZone[session.report.zone].push_back(vm);
+        }
+    }
+    constexpr std::size_t PeersOfZone = 2;
+    std::vector<VmId> peers;
+    for (const auto &[zone, vms] : byZone) {
+        const std::size_t turn = rankOf(entry, BackendId {}) % vms.size();
+        for (std::size_t at = 0; at < vms.size() && at < PeersOfZone; ++at) {
+            peers.push_back(vms[(turn + at) % vms.size()]);
+        }
+    }
+    return peers;
+}
+
 std::vector<BackendHomes> EntryRegistry::homes() const
 {
     std::vector<BackendHomes> list;
     for (const auto &[backend, entries] : homes_) {
         list.push_back({ backend, entries });
     }
+    for (const auto &[backend, entries] : relays_) {
+        if (!homes_.contains(backend)) {
+            list.push_back({ backend, entries });
+        }
+    }
     return list;
 }
 
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -220,6 +220,7 @@
     if (always) {
         update.quotas = entries_.grant(now, entry, state_);
         update.controlVms = controlVms_;
+        update.peers = entries_.peersOf(now, entry);
         update.homesVersion = entries_.homesVersion();
         if (update.homesVersion != 0 && session.report.homesVersion != update.homesVersion) {
             update.homes = entries_.homes();
--- /dev/null
+++ b/unittests/platform/controlapitest.cpp
@@ -0,0 +1,131 @@
+// The platform's HTTP calls, proper and damaged.
+#include "platform/controlapi.h"
+#include "platform/promotion.h"
+
+#include <boost/json.hpp>
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace daisyrelay::platform;
+
+static const char *const Configuration
+    = R"({"Version":7,"Routes":[{"Name":"r","Host":"db1","PathPrefix":"/","Type":"read_your_writes","TimeoutMs":800,)"
+      R"("GoalMs":250,"Priority":2,"Service":"s1","MaxStalenessMs":2500}],"Services":[{"Name":"s1","MaxConns":41,)"
+      R"("SyncReplicas":1}],"Limits":{"TxIdleMs":3000,"MaxBodyBytes":262144}})";
+
+TEST_GROUP(ControlApi)
+{
+    static std::variant<ControlRequest, HttpResponse> post(const std::string &target, const std::string &body)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = target;
+        request.body = body;
+        return decodeControl(request);
+    }
+
+    static int statusOf(const std::variant<ControlRequest, HttpResponse> &decoded)
+    {
+        const auto *response = std::get_if<HttpResponse>(&decoded);
+        return response == nullptr ? 0 : response->status;
+    }
+};
+
+TEST(ControlApi, AConfigurationIsReadInFull)
+{
+    const Expected<RouteConfiguration> configuration = parseConfiguration(Configuration);
+    CHECK(configuration.has_value());
+    CHECK_EQUAL(7U, configuration->version);
+    CHECK_EQUAL(std::string("db1"), configuration->routes.at(0).database);
+    CHECK(configuration->routes.at(0).guarantee == ReadGuarantee::OwnWrites);
+    CHECK_EQUAL(2500, configuration->routes.at(0).maxStaleness.count());
+    CHECK_EQUAL(41U, configuration->services.at(0).connections);
+    CHECK_EQUAL(1U, configuration->services.at(0).syncReplicas);
+    CHECK_EQUAL(3000, configuration->transactionIdle.count());
+}
+
+TEST(ControlApi, AnInvalidConfigurationIsRefused)
+{
+    const auto without = [](const std::string &from, const std::string &to) {
+        std::string text = Configuration;
+        text.replace(text.find(from), from.size(), to);
+        return parseConfiguration(text).has_value();
+    };
+    CHECK(!without("\"Service\":\"s1\"", "\"Service\":\"other\""));
+    CHECK(!without("\"TimeoutMs\":800", "\"TimeoutMs\":0"));
+    CHECK(!without("\"Version\":7", "\"Version\":\"7\""));
+    CHECK(!without("\"Version\":7,", ""));
+    CHECK(!without("read_your_writes", "unheard_of"));
+    CHECK(!parseConfiguration(std::string(Configuration).substr(0, 200)).has_value());
+    std::string twice = Configuration;
+    const std::size_t begin = twice.find("{\"Name\":\"r\"");
+    const std::string route = twice.substr(begin, twice.find(']') - begin);
+    twice.insert(begin, route + ",");
+    CHECK(!parseConfiguration(twice).has_value());
+}
+
+TEST(ControlApi, AHeartbeatIsReadAndADamagedOneNamesNoServer)
+{
+    const std::string body = R"({"Service":"s","Addr":"10.0.0.9:8080","Zone":"z","Version":"v1","Slots":3,)"
+                             R"("State":"draining","ColdLeftMs":0,"DbRole":"primary","Seq":4,"born":1781115975248})";
+    const auto decoded = post("/-/Instances.Heartbeat/i-7", body);
+    const auto &heartbeat = std::get<BackendHeartbeat>(std::get<ControlRequest>(decoded));
+    CHECK_EQUAL(std::string("i-7"), heartbeat.record.id.value);
+    CHECK_EQUAL(1781115975248, heartbeat.record.bornMs);
+    CHECK(heartbeat.record.draining && heartbeat.record.claimsPrimary);
+    CHECK_EQUAL(8080, heartbeat.record.port);
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> { { "draining", "resting" },
+             { "\"Seq\":4", "\"Seq\":\"4\"" }, { "10.0.0.9:8080", "nowhere" }, { "\"Service\":\"s\",", "" },
+             { "1781115975248", "1.5" }, { "\"primary\"", "\"boss\"" } }) {
+        std::string damaged = body;
+        damaged.replace(damaged.find(from), from.size(), to);
+        CHECK_EQUAL(400, statusOf(post("/-/Instances.Heartbeat/i-7", damaged)));
+    }
+    CHECK_EQUAL(400, statusOf(post("/-/Instances.Heartbeat/i-7", "\xff{")));
+    CHECK_EQUAL(404, statusOf(post("/-/Unknown", "{}")));
+}
+
+TEST(ControlApi, AnyBytesAreRefusedOrReadWithoutHarm)
+{
+    CHECK(rc::check([]() {
+        std::string text = Configuration;
+        const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+        const auto size = *rc::gen::inRange<std::size_t>(0, 30);
+        text.replace(at, size, *rc::gen::string<std::string>());
+        post("/-/Config.Put", text);
+        post("/-/Instances.Heartbeat/i-1", text);
+        post("/-/Instances.Leave/i-1", text);
+    }));
+}
+
+TEST(ControlApi, AReaderGetsWhatTheOperatorSentAndAServerLearnsWhoLeads)
+{
+    const HttpResponse read
+        = encodeControl(ReadConfiguration {}, { ControlStatus::Done, "{\"Version\":7}", VmId { "10.0.0.1" } }, 8782);
+    CHECK_EQUAL(200, read.status);
+    CHECK_EQUAL(std::string("{\"Version\":7}"), read.body);
+    const HttpResponse beat
+        = encodeControl(BackendHeartbeat {}, { ControlStatus::Done, "", VmId { "10.0.0.1" } }, 8782);
+    CHECK_EQUAL(std::string("{\"HeartbeatAddr\":\"10.0.0.1:8782\"}"), beat.body);
+    CHECK_EQUAL(503, encodeControl(ReadConfiguration {}, {}, 8782).status);
+}
+
+TEST(ControlApi, APromotionCarriesHolderAndTokenAndOnlyAClearAnswerDecides)
+{
+    const HttpRequest request
+        = encodePromotion({ ServiceId { "s" }, BackendId { "i-1" }, 42, Duration::zero() }, "core-1");
+    CHECK_EQUAL(std::string("/promote"), request.target);
+    CHECK_EQUAL(std::string("core-1"), request.headers.at(0).second);
+    CHECK_EQUAL(std::string("42"), request.headers.at(1).second);
+    HttpResponse response;
+    CHECK(decodePromotion(response) == PromotionOutcome::Accepted);
+    response.status = 409;
+    CHECK(decodePromotion(response) == PromotionOutcome::Rejected);
+    response.status = 429;
+    CHECK(decodePromotion(response) == PromotionOutcome::NotNow);
+    response.status = 500;
+    CHECK(decodePromotion(response) == PromotionOutcome::Unknown);
+    CHECK(decodePromotion(std::nullopt) == PromotionOutcome::Unknown);
+}
--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -147,6 +147,10 @@
                         core.onConnectionOpened(now, id);
                     }
                 });
+            } else if (auto *message = std::get_if<SendToEntry>(&action); message != nullptr) {
+                if (onMessage) {
+                    onMessage(*message);
+                }
             } else if (auto *end = std::get_if<CloseBackendConnection>(&action); end != nullptr) {
                 connections.erase(end->connection);
             } else if (auto *exchange = std::get_if<RunExchange>(&action); exchange != nullptr) {
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -73,6 +73,9 @@
     SessionId open(const std::string &name);
     std::string send(SessionId session, StatementType kind, const std::string &rest = "", const std::string &more = "");
 
+    /// Does what the core asks for; run() does so by itself.
+    void perform();
+
     /// Lets time pass; replicas apply what is older than \p lag.
     void run(Duration duration);
 
@@ -82,6 +85,9 @@
     /// Returns the next answer of a caller, running until it has come.
     CallerAnswer answer(SessionId session, Duration most = std::chrono::seconds(3));
 
+    /// Receives what the core sends to other entries.
+    std::function<void(const SendToEntry &)> onMessage;
+
     Duration lag = std::chrono::milliseconds(20);
 
 private:
@@ -90,7 +96,6 @@
         std::function<void()> act;
     };
 
-    void perform();
     void later(Duration delay, std::function<void()> act);
     void runExchange(const RunExchange &exchange);
     BackendAnswer runStatement(Connection &connection, const Statement &statement);
