--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -71,6 +71,12 @@
     /// A statement failed although the server answered, or got no answer.
     void failed(Instant now);
 
+    /// It had no room for a statement.
+    void noteFull(Instant now);
+
+    /// Whether one more statement is likely to find room there.
+    [[nodiscard]] bool hasRoom() const;
+
     /// It refused a read since its log was too far behind.
     void noteLag(Instant now);
 
@@ -107,6 +113,10 @@
     [[nodiscard]] std::uint32_t wanted(Instant now) const;
 
 private:
+    static constexpr double LargestWindow = 64;
+
+    [[nodiscard]] std::size_t busy() const;
+
     BackendRecord record_;
     const ProxyTiming &timing_;
     std::uint32_t quota_ = 0;
@@ -116,6 +126,8 @@
     std::uint32_t errors_ = 0; ///< Statements that failed, in a row.
     Instant retryAt_ {};
     Instant avoidUntil_ {};
+    double window_ = LargestWindow; ///< Statements under way at once; halved by refusals, raised by answers.
+    Instant fullAt_ {};
     Instant laggedAt_ {};
     Instant drainingSince_ {}; ///< When this VM heard of it.
     std::optional<Instant> lastAnswer_;
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -116,6 +116,7 @@
     lastAnswer_ = now;
     if (ran) {
         serviceTime_.add(now - sentAt);
+        window_ = std::min(LargestWindow, window_ + 1.0 / std::max(window_, 1.0));
         errors_ = 0;
     }
 }
@@ -130,6 +131,29 @@
     }
 }
 
+std::size_t BackendPool::busy() const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+        [](const auto &entry) { return entry.second.use == BackendConnection::Use::Busy; }));
+}
+
+// Several entries share the queue of a server without knowing of each other; each finds its part by what is refused.
+void BackendPool::noteFull(Instant now)
+{
+    constexpr Duration Settle = std::chrono::milliseconds(20); // One overflow refuses several statements.
+    constexpr double Shrink = 0.7;
+    if (now - fullAt_ < Settle) {
+        return;
+    }
+    fullAt_ = now;
+    window_ = std::max(1.0, std::min(window_, static_cast<double>(busy())) * Shrink);
+}
+
+bool BackendPool::hasRoom() const
+{
+    return static_cast<double>(busy()) < window_;
+}
+
 void BackendPool::noteLag(Instant now)
 {
     laggedAt_ = now;
@@ -192,10 +216,8 @@
 
 Duration BackendPool::cost() const
 {
-    const auto busy = static_cast<std::int64_t>(std::count_if(connections_.begin(), connections_.end(),
-        [](const auto &entry) { return entry.second.use == BackendConnection::Use::Busy; }));
     const auto slots = static_cast<std::int64_t>(std::max<std::uint32_t>(record_.slots, 1));
-    return meanTime() + meanTime() * busy / slots;
+    return meanTime() + meanTime() * static_cast<std::int64_t>(busy()) / slots;
 }
 
 bool BackendPool::usable(Instant now) const
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -107,11 +107,14 @@
         refuse(now, session, AnswerCode::Busy, "no-primary", ComeBack);
         return Placement::Refused;
     }
-    if (BackendConnection *connection = pool->pickIdle(session.values); connection != nullptr) {
+    if (BackendConnection *connection = pool->hasRoom() ? pool->pickIdle(session.values) : nullptr;
+        connection != nullptr) {
         send(now, session, *pool, *connection, std::nullopt);
         return Placement::Started;
     }
-    openFor(now, *pool, service.waitingForPrimary);
+    if (pool->hasRoom()) {
+        openFor(now, *pool, service.waitingForPrimary);
+    }
     const auto lanes = static_cast<std::int64_t>(std::max<std::uint32_t>(pool->quota(), 1));
     const Duration predicted = pool->meanTime() * static_cast<std::int64_t>(service.waitingForPrimary) / lanes;
     if (session.operation->arrivedAt == now && now + predicted > session.operation->holdUntil) {
@@ -129,7 +132,7 @@
     bool bestDrains = false;
     for (auto &[id, pool] : pools_) {
         if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
-            || pool.suspect(now) || (guest && pool.record().draining && id != service.primary.backend)
+            || pool.suspect(now) || (idleOnly && !pool.hasRoom()) || (guest && pool.record().draining && id != service.primary.backend)
             || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
             continue;
         }
@@ -164,8 +167,8 @@
         }
         return Placement::Waits;
     }
-    BackendPool *chosen = wanted->idle() > 0 ? wanted : cheapest(now, *session.operation, service, true, session.guest.has_value());
-    if (chosen != wanted) {
+    BackendPool *chosen = wanted->idle() > 0 && wanted->hasRoom() ? wanted : cheapest(now, *session.operation, service, true, session.guest.has_value());
+    if (chosen != wanted && wanted->hasRoom()) {
         openFor(now, *wanted, service.waiting.size() - service.waitingForPrimary);
     }
     if (chosen == nullptr) {
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -223,6 +223,8 @@
     }
     if (code == AnswerCode::Lagging) {
         pool.noteLag(now);
+    } else if (code == AnswerCode::Busy) {
+        pool.noteFull(now);
     }
     if (session.guest && !operation.needsPrimary) {
         // The entry that sent it knows other servers.
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -175,7 +175,14 @@
         for (const PrimaryObservation &seen : session.report.primaries) {
             if (seen.unreachable) {
                 cut.insert(seen.backend);
-            } else if (seen.answering && answering[seen.backend].size() < RelaysOfPrimary) {
+                continue;
+            }
+            // Who relays already goes on as long as it is not cut off itself.
+            const auto known = relays_.find(seen.backend);
+            const bool relays = known != relays_.end()
+                && std::find(known->second.begin(), known->second.end(), vm) != known->second.end();
+            const bool joins = known == relays_.end() && seen.answering;
+            if ((relays || joins) && answering[seen.backend].size() < RelaysOfPrimary) {
                 answering[seen.backend].push_back(vm);
             }
         }
