Serve first what can still be in time, and keep servers' queues short

The number of statements under way at a server now follows its answer times, and a statement that has waited most of its target gives way. Ruled out: replicas that could serve (both had received nothing for longer than the bounds). Tests: Overload, Guests, Supervisor, WireCodec, ControlApi, NodeSettings. A hedged BEGIN says that nothing ran.

--- a/include/daisyrelay/base/time.h
+++ b/include/daisyrelay/base/time.h
@@ -12,7 +12,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<Clock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): what the standard requires.
 
     static time_point now() noexcept;
 };
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -116,6 +116,7 @@
     static constexpr double LargestWindow = 64;
 
     [[nodiscard]] std::size_t busy() const;
+    void adaptWindow(Instant now, Duration took);
 
     BackendRecord record_;
     const ProxyTiming &timing_;
@@ -127,6 +128,8 @@
     Instant retryAt_ {};
     Instant avoidUntil_ {};
     double window_ = LargestWindow; ///< Statements under way at once; halved by refusals, raised by answers.
+    double usualTime_ = 0; ///< Of an answer without a queue, in ticks; rises slowly.
+    double recentTime_ = 0; ///< The same, over the last few answers.
     Instant fullAt_ {};
     Instant laggedAt_ {};
     Instant drainingSince_ {}; ///< When this VM heard of it.
--- a/include/daisyrelay/proxy/proxyactions.h
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daisyrelay/limits.h"
-#include "daisyrelay/wire/sessionstatement.h"
 #include "daisyrelay/wire.h"
+#include "daisyrelay/wire/sessionstatement.h"
 
 #include <variant>
 
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -18,8 +18,8 @@
 /// Holds no clock, socket or file.
 ///
 /// Writes and reads that must see everything run behind a plain BEGIN on the same connection, which a backend server
-/// that does not lead refuses. So no answer depends on who this VM believes to lead. Other reads carry the position that
-/// they need, and the backend server refuses them if its log does not have it.
+/// that does not lead refuses. So no answer depends on who this VM believes to lead. Other reads carry the position
+/// that they need, and the backend server refuses them if its log does not have it.
 class ProxyCore
 {
 public:
@@ -156,13 +156,13 @@
     [[nodiscard]] bool hasLocalServer(const ServiceId &service) const;
 
     // exchanges.cpp
-    void send(Instant now, Session &session, BackendPool &pool, BackendConnection &connection,
-        std::optional<LogPoint> since);
+    void send(
+        Instant now, Session &session, BackendPool &pool, BackendConnection &connection, std::optional<LogPoint> since);
     void sendBehindBegin(Instant now, Session &session, BackendConnection &connection);
     void start(Instant now, BackendConnection &connection, RunExchange exchange);
     Statement payloadOf(const Session &session);
-    void appendSessionState(
-        const Session &session, const PendingStatement &operation, BackendConnection &connection, std::vector<Statement> &out);
+    void appendSessionState(const Session &session, const PendingStatement &operation, BackendConnection &connection,
+        std::vector<Statement> &out);
     const std::string &preparedName(const PreparedStatement &statement);
     void sample(Instant now, const ServiceId &id, Service &service);
     void cleanUp(Instant now, BackendPool &pool, BackendConnection &connection);
@@ -172,7 +172,8 @@
 
     // outcomes.cpp
     void onPayload(Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendAnswer> &answers);
-    void succeed(Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendAnswer &answer);
+    void succeed(
+        Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendAnswer &answer);
     void tryAgain(Instant now, Session &session, BackendPool &pool, AnswerCode code);
     void fail(Instant now, Session &session, BackendAnswer &answer);
     void loseAnswer(Instant now, Session &session, std::string_view reason);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -19,17 +19,20 @@
     Duration zoneCost = std::chrono::milliseconds(2); ///< Of a server in another zone: one more round trip.
     Duration surplusAfter = std::chrono::seconds(5); ///< Demand for connections is remembered for so long.
     Duration isolation = std::chrono::milliseconds(1000); ///< Of silence of control and primaries, before callers are
-                                                           ///< sent elsewhere; a change of leader takes less.
+                                                          ///< sent elsewhere; a change of leader takes less.
     Duration drainNotice = std::chrono::milliseconds(2300); ///< The balancer needs two missed checks of a second each.
     Duration drainReserve = std::chrono::milliseconds(900); ///< Of the grace, for closing what is left.
     Duration openingHold = std::chrono::milliseconds(1000); ///< A new session waits so long for the configuration.
     Duration beginPatience = std::chrono::milliseconds(120); ///< A BEGIN waits for no slot, so it is answered at once.
-    Duration knownOutage = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
+    Duration knownOutage
+        = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
+    double inTimePart = 0.7; ///< Of its target: a statement that has waited longer gives way to those that have not.
+    double crowdedFactor = 2.5; ///< A server whose answers take so much longer than usual has too much under way.
     double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
     double longestHold = 0.3; ///< The same, as a part of the statement's timeout.
     Duration lagMemory = std::chrono::milliseconds(150); ///< A replica that lagged is asked last for so long.
-    Duration unneededAfter = std::chrono::seconds(3); ///< Idle connections above one are closed then: those of a VM that
-                                                      ///< loses its power stand in the way of its next start.
+    Duration unneededAfter = std::chrono::seconds(3); ///< Idle connections above one are closed then: those of a VM
+                                                      ///< that loses its power stand in the way of its next start.
     Duration drainUse = std::chrono::milliseconds(3000); ///< A server that leaves gets work for so long at most, if no
                                                          ///< other can run it; it stays for seven seconds.
     std::uint32_t mostAttempts = 6; ///< For one statement that did not run.
--- a/include/daisyrelay/supervision/primarywatch.h
+++ b/include/daisyrelay/supervision/primarywatch.h
@@ -20,8 +20,8 @@
     std::function<void(SupervisionAction)> act;
 };
 
-/// Lives while its VM leads. A promotion whose fate is unknown is overtaken by one with a higher token, never assumed to
-/// have failed.
+/// Lives while its VM leads. A promotion whose fate is unknown is overtaken by one with a higher token, never assumed
+/// to have failed.
 class PrimaryWatch
 {
 public:
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daisyrelay/wire/backendrecord.h"
-#include "daisyrelay/wire/raftmessages.h"
 #include "daisyrelay/wire/guestmessages.h"
+#include "daisyrelay/wire/raftmessages.h"
 #include "daisyrelay/wire/routeconfiguration.h"
 
 #include <optional>
@@ -57,7 +57,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(name, zone, run, sequence, configVersion, topologyIndex, homesVersion, leaving, held, wanted, primaries);
+        archive(
+            name, zone, run, sequence, configVersion, topologyIndex, homesVersion, leaving, held, wanted, primaries);
     }
 };
 
@@ -106,8 +107,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers, reportIntervalMs,
-            homesVersion, homes, failingOver);
+        archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers,
+            reportIntervalMs, homesVersion, homes, failingOver);
     }
 };
 
@@ -197,9 +198,8 @@
     }
 };
 
-using ClusterPayload
-    = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControl, ForwardedResult, GuestRequest,
-        GuestAnswer, GuestEnd, PositionRequest, PositionAnswer>;
+using ClusterPayload = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControl,
+    ForwardedResult, GuestRequest, GuestAnswer, GuestEnd, PositionRequest, PositionAnswer>;
 
 struct ClusterMessage {
     VmId from;
@@ -260,8 +260,7 @@
     }
 };
 
-using SupervisionCommand
-    = std::variant<PutConfiguration, RecordBackend, RemoveBackend, DecidePromotion, RecordPrimary>;
+using SupervisionCommand = std::variant<PutConfiguration, RecordBackend, RemoveBackend, DecidePromotion, RecordPrimary>;
 
 std::string encodeClusterMessage(const ClusterMessage &message);
 
--- a/lib/consensus/membershipchanges.cpp
+++ b/lib/consensus/membershipchanges.cpp
@@ -88,8 +88,9 @@
     const auto voters = static_cast<std::size_t>(std::count_if(
         membership.members.begin(), membership.members.end(), [](const Member &member) { return member.voter; }));
     const auto silent = std::find_if(membership.members.begin(), membership.members.end(), [&](const Member &member) {
-        return member.voter ? options_.voters != 0 && voters > options_.voters && isSilent(now, member, options_.memberGone)
-                            : isSilent(now, member, options_.learnerGone);
+        return member.voter
+            ? options_.voters != 0 && voters > options_.voters && isSilent(now, member, options_.memberGone)
+            : isSilent(now, member, options_.learnerGone);
     });
     if (silent == membership.members.end()) {
         return false;
--- a/lib/net/backendio.h
+++ b/lib/net/backendio.h
@@ -1,9 +1,9 @@
 // The connections to backend servers; runs on the backend thread.
 #pragma once
 
+#include "daisyrelay/io/httpconnection.h"
 #include "daisyrelay/net/duty.h"
 #include "daisyrelay/net/faultplan.h"
-#include "daisyrelay/io/httpconnection.h"
 #include "daisyrelay/relay.h"
 
 #include <functional>
--- a/lib/net/callerfront.h
+++ b/lib/net/callerfront.h
@@ -1,9 +1,9 @@
 // The HTTP duty of a VM: callers, backend servers, operators and the platform.
 #pragma once
 
+#include "daisyrelay/io/httpserver.h"
 #include "daisyrelay/net/duty.h"
 #include "daisyrelay/net/faultplan.h"
-#include "daisyrelay/io/httpserver.h"
 #include "daisyrelay/relay.h"
 
 #include <functional>
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -39,7 +39,8 @@
     hooks.apply = [this](const LogEntry &entry) { control_.onCommitted(Clock::now(), entry); };
     hooks.restore = [this](std::string_view bytes) { return control_.restoreSnapshot(Clock::now(), bytes); };
     hooks.snapshot = [this]() { return control_.encodeSnapshot(); };
-    Expected<std::unique_ptr<RaftDriver>> driver = RaftDriver::open(settings.dataFolder, raftOptions(settings), counters, std::move(hooks));
+    Expected<std::unique_ptr<RaftDriver>> driver
+        = RaftDriver::open(settings.dataFolder, raftOptions(settings), counters, std::move(hooks));
     if (!driver) {
         return tl::unexpected(driver.error());
     }
--- a/lib/net/controlruntime.h
+++ b/lib/net/controlruntime.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "daisyrelay/control.h"
-#include "daisyrelay/net/duty.h"
 #include "daisyrelay/io/httpconnection.h"
 #include "daisyrelay/io/raftdriver.h"
+#include "daisyrelay/net/duty.h"
 
 #include <functional>
 
--- a/lib/net/protocol.h
+++ b/lib/net/protocol.h
@@ -1,8 +1,8 @@
 // The JSON bodies of the outside interfaces: callers, backend servers and databases.
 #pragma once
 
-#include "daisyrelay/net/faultplan.h"
 #include "daisyrelay/io/httptypes.h"
+#include "daisyrelay/net/faultplan.h"
 #include "daisyrelay/relay.h"
 
 namespace daisyrelay {
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -116,7 +116,7 @@
     lastAnswer_ = now;
     if (ran) {
         serviceTime_.add(now - sentAt);
-        window_ = std::min(LargestWindow, window_ + 1.0 / std::max(window_, 1.0));
+        adaptWindow(now, now - sentAt);
         errors_ = 0;
     }
 }
@@ -149,6 +149,23 @@
     window_ = std::max(1.0, std::min(window_, static_cast<double>(busy())) * Shrink);
 }
 
+// Keeps the queue in the server short: what waits here instead can still be put in order, or be refused in time.
+void BackendPool::adaptWindow(Instant now, Duration took)
+{
+    constexpr double RecentShare = 0.2;
+    constexpr double UsualRise = 0.002;
+    constexpr double UsualFall = 0.05;
+    const auto ticks = static_cast<double>(took.count());
+    recentTime_ = recentTime_ == 0 ? ticks : recentTime_ + RecentShare * (ticks - recentTime_);
+    const double step = recentTime_ > usualTime_ ? UsualRise : UsualFall;
+    usualTime_ = usualTime_ == 0 ? ticks : usualTime_ + step * (recentTime_ - usualTime_);
+    if (recentTime_ > timing_.crowdedFactor * usualTime_) {
+        noteFull(now);
+    } else {
+        window_ = std::min(LargestWindow, window_ + 1.0 / std::max(window_, 1.0));
+    }
+}
+
 bool BackendPool::hasRoom() const
 {
     return static_cast<double>(busy()) < window_;
@@ -166,13 +183,13 @@
 
 std::optional<ConnectionId> BackendPool::unneeded(Instant now) const
 {
-    const auto oldest = std::min_element(
-        connections_.begin(), connections_.end(), [](const auto &left, const auto &right) {
-            const auto key = [](const BackendConnection &connection) {
-                return std::pair(connection.use != BackendConnection::Use::Idle, connection.since);
-            };
-            return key(left.second) < key(right.second);
-        });
+    const auto oldest
+        = std::min_element(connections_.begin(), connections_.end(), [](const auto &left, const auto &right) {
+              const auto key = [](const BackendConnection &connection) {
+                  return std::pair(connection.use != BackendConnection::Use::Idle, connection.since);
+              };
+              return key(left.second) < key(right.second);
+          });
     const bool spare = idle() > 1 && now - oldest->second.since > timing_.unneededAfter;
     return spare ? std::optional(oldest->first) : std::nullopt;
 }
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -33,25 +33,30 @@
 {
     const PendingStatement &operation = *session.operation;
     Service &service = serviceOf(operation.route->service);
-    const bool waited
-        = service.waiting.erase({ operation.route->priority, operation.arrivedAt, session.id }) > 0;
+    const bool waited = service.waiting.erase({ operation.route->priority, operation.arrivedAt, session.id }) > 0;
     service.waitingForPrimary -= waited && operation.needsPrimary ? 1 : 0;
 }
 
+// What can still be answered within its target goes first; in a backlog the oldest would otherwise take all the room
+// and be late all the same.
 void ProxyCore::dispatch(Instant now, const ServiceId &id)
 {
     Service &service = serviceOf(id);
     bool primaryFull = false;
     bool readsFull = false;
-    for (auto at = service.waiting.begin(); at != service.waiting.end() && !(primaryFull && readsFull);) {
-        const auto current = at++;
-        Session &session = *find(std::get<SessionId>(*current));
-        const bool atPrimary = session.operation->needsPrimary;
-        if (session.operation->retryAt > now || (atPrimary ? primaryFull : readsFull)) {
-            continue;
-        }
-        if (place(now, session, service) == Placement::Waits && session.operation) {
-            (atPrimary ? primaryFull : readsFull) = session.operation->tried.empty();
+    for (const bool late : { false, true }) {
+        for (auto at = service.waiting.begin(); at != service.waiting.end() && !(primaryFull && readsFull);) {
+            const auto current = at++;
+            Session &session = *find(std::get<SessionId>(*current));
+            const PendingStatement &operation = *session.operation;
+            const bool atPrimary = operation.needsPrimary;
+            const bool missed = now - operation.arrivedAt > operation.route->target * timing_.inTimePart;
+            if (missed != late || operation.retryAt > now || (atPrimary ? primaryFull : readsFull)) {
+                continue;
+            }
+            if (place(now, session, service) == Placement::Waits && session.operation) {
+                (atPrimary ? primaryFull : readsFull) = session.operation->tried.empty();
+            }
         }
     }
 }
@@ -132,7 +137,8 @@
     bool bestDrains = false;
     for (auto &[id, pool] : pools_) {
         if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
-            || pool.suspect(now) || (idleOnly && !pool.hasRoom()) || (guest && pool.record().draining && id != service.primary.backend)
+            || pool.suspect(now) || (idleOnly && !pool.hasRoom())
+            || (guest && pool.record().draining && id != service.primary.backend)
             || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
             continue;
         }
@@ -167,7 +173,9 @@
         }
         return Placement::Waits;
     }
-    BackendPool *chosen = wanted->idle() > 0 && wanted->hasRoom() ? wanted : cheapest(now, *session.operation, service, true, session.guest.has_value());
+    BackendPool *chosen = wanted->idle() > 0 && wanted->hasRoom()
+        ? wanted
+        : cheapest(now, *session.operation, service, true, session.guest.has_value());
     if (chosen != wanted && wanted->hasRoom()) {
         openFor(now, *wanted, service.waiting.size() - service.waitingForPrimary);
     }
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -27,8 +27,8 @@
 }
 
 // Brings the connection to the values and prepared statements that the session was told it has.
-void ProxyCore::appendSessionState(
-    const Session &session, const PendingStatement &operation, BackendConnection &connection, std::vector<Statement> &out)
+void ProxyCore::appendSessionState(const Session &session, const PendingStatement &operation,
+    BackendConnection &connection, std::vector<Statement> &out)
 {
     const bool hasForeignValue = std::any_of(connection.values.begin(), connection.values.end(),
         [&session](const auto &value) { return !session.values.contains(value.first); });
--- a/lib/proxy/freshnesshistory.cpp
+++ b/lib/proxy/freshnesshistory.cpp
@@ -31,8 +31,8 @@
 
 std::optional<LogPoint> FreshnessHistory::coverSince(Instant oldest) const
 {
-    const auto found = std::lower_bound(samples_.begin(), samples_.end(), oldest,
-        [](const Sample &sample, Instant at) { return sample.askedAt < at; });
+    const auto found = std::lower_bound(
+        samples_.begin(), samples_.end(), oldest, [](const Sample &sample, Instant at) { return sample.askedAt < at; });
     return found == samples_.end() ? std::nullopt : std::optional(found->point);
 }
 
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -12,9 +12,8 @@
 
 bool ProxyCore::hasLocalServer(const ServiceId &service) const
 {
-    return std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
-        return entry.second.record().service == service && entry.second.quota() > 0;
-    });
+    return std::any_of(pools_.begin(), pools_.end(),
+        [&](const auto &entry) { return entry.second.record().service == service && entry.second.quota() > 0; });
 }
 
 const VmId *ProxyCore::homeOf(Instant now, const BackendId &backend) const
@@ -55,8 +54,8 @@
         constexpr int Draining = 4;
         constexpr int Primary = 2; // Its slots are wanted by what runs nowhere else.
         constexpr int Lagging = 8;
-        const int rank = (pool.lags(now) ? Lagging : 0) + (pool.record().draining ? Draining : 0) + (id == service.primary.backend ? Primary : 0)
-            + (pool.record().zone == zone_ ? 0 : 1);
+        const int rank = (pool.lags(now) ? Lagging : 0) + (pool.record().draining ? Draining : 0)
+            + (id == service.primary.backend ? Primary : 0) + (pool.record().zone == zone_ ? 0 : 1);
         const bool turn = rank == bestRank && (nextSequence_ & 1U) == 0;
         if (best == nullptr || rank < bestRank || turn) {
             best = &id;
@@ -111,7 +110,8 @@
         request.floorGeneration = session.floor->generation;
     }
     const auto left = [now](Instant until) {
-        return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(until - now), std::chrono::milliseconds(1));
+        return std::max(
+            std::chrono::duration_cast<std::chrono::milliseconds>(until - now), std::chrono::milliseconds(1));
     };
     request.remaining = left(operation.deadline - HopTime);
     request.hold = left(operation.holdUntil);
@@ -173,8 +173,8 @@
         return;
     }
     const bool promised = reply.answer.code == AnswerCode::Busy || reply.answer.code == AnswerCode::WrongBackend
-        || reply.answer.code == AnswerCode::Lagging
-        || reply.answer.code == AnswerCode::NotPrimary || reply.answer.code == AnswerCode::Aborted;
+        || reply.answer.code == AnswerCode::Lagging || reply.answer.code == AnswerCode::NotPrimary
+        || reply.answer.code == AnswerCode::Aborted;
     if (promised && operation.role != PendingStatement::Role::Next && operation.attempts < timing_.mostAttempts
         && now < operation.holdUntil) {
         const bool wrongHome = reply.answer.code == AnswerCode::WrongBackend;
@@ -262,8 +262,8 @@
     operation.deadline = now + request.remaining;
     operation.holdUntil = now + request.hold;
     operation.writes = writes(session, request.statement);
-    operation.needsPrimary = operation.writes || request.atPrimary
-        || request.route.guarantee == ReadGuarantee::Primary || (request.inTransaction && !request.readOnly);
+    operation.needsPrimary = operation.writes || request.atPrimary || request.route.guarantee == ReadGuarantee::Primary
+        || (request.inTransaction && !request.readOnly);
     if (request.first) {
         session.transaction = CallerTransaction {};
         session.transaction->readOnly = request.readOnly;
@@ -336,8 +336,8 @@
         if (asker.askedAt > askedAt) {
             return false;
         }
-        actions_.emplace_back(SendToEntry {
-            asker.entry, PositionAnswer { id, asker.sequence, service.primary.generation, point } });
+        actions_.emplace_back(
+            SendToEntry { asker.entry, PositionAnswer { id, asker.sequence, service.primary.generation, point } });
         return true;
     });
 }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -50,8 +50,8 @@
     if (loss != ConnectionLoss::Broken) {
         metrics_.add("connections_not_opened_total");
         log_.log(now, "connection.not-opened",
-            { { "backend", std::string_view(pool.record().id.value) },
-                { "loss", static_cast<std::uint64_t>(loss) }, { "topology_index", topologyIndex_ } });
+            { { "backend", std::string_view(pool.record().id.value) }, { "loss", static_cast<std::uint64_t>(loss) },
+                { "topology_index", topologyIndex_ } });
     } else if (connection.use == BackendConnection::Use::Busy || connection.use == BackendConnection::Use::Held) {
         metrics_.add("connections_broken_total");
         log_.log(now, "connection.broken",
@@ -84,7 +84,8 @@
         return;
     }
     const bool statement = connection.purpose == BackendConnection::Purpose::Statement;
-    pool.answered(now, connection.since, statement && !connection.beginning && answers[connection.payload].code == AnswerCode::Ok);
+    pool.answered(now, connection.since,
+        statement && !connection.beginning && answers[connection.payload].code == AnswerCode::Ok);
     const TransactionState state = answers.back().state;
     if (statement) {
         onPayload(now, pool, connection, answers);
@@ -100,8 +101,7 @@
     release(now, pool, connection);
 }
 
-void ProxyCore::learnPosition(
-    const BackendPool &pool, const BackendConnection &connection, const BackendAnswer &answer)
+void ProxyCore::learnPosition(const BackendPool &pool, const BackendConnection &connection, const BackendAnswer &answer)
 {
     if (answer.position && connection.generation != 0) {
         Service &service = serviceOf(pool.record().service);
@@ -274,8 +274,8 @@
     const bool again = !unknown && operation.role != PendingStatement::Role::Next && now < operation.deadline;
     log_.log(now, "request.answer-lost",
         { { "request", std::string_view(operation.statement.id) }, { "reason", reason },
-            { "backend", std::string_view(operation.backend.value) }, { "in_doubt", unknown },
-            { "again", again }, { "after_ms", now - operation.sentAt } });
+            { "backend", std::string_view(operation.backend.value) }, { "in_doubt", unknown }, { "again", again },
+            { "after_ms", now - operation.sentAt } });
     // What a connection had begun is rolled back with it, so only what may have been committed is in doubt.
     if (again && operation.attempts < timing_.mostAttempts) {
         Service &service = serviceOf(operation.route->service);
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -78,16 +78,14 @@
 bool ProxyCore::ready() const
 {
     return configVersion_ > 0 && topologyIndex_ > 0 && !drainSince_ && !isolatedSince_
-        && (!homes_.empty() || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) {
-               return entry.second.quota() > 0;
-           }));
+        && (!homes_.empty()
+            || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) { return entry.second.quota() > 0; }));
 }
 
 bool ProxyCore::sendsCallersAway(Instant now) const
 {
-    const auto noticed = [this, now](const std::optional<Instant> &since) {
-        return since && now - *since >= timing_.drainNotice;
-    };
+    const auto noticed
+        = [this, now](const std::optional<Instant> &since) { return since && now - *since >= timing_.drainNotice; };
     return noticed(drainSince_) || noticed(isolatedSince_);
 }
 
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -164,7 +164,8 @@
     operation.writes = writes(session, statement);
     if (session.transaction) {
         const CallerTransaction &transaction = *session.transaction;
-        operation.role = transaction.connection == 0 && transaction.home.empty() ? PendingStatement::Role::First : PendingStatement::Role::Next;
+        operation.role = transaction.connection == 0 && transaction.home.empty() ? PendingStatement::Role::First
+                                                                                 : PendingStatement::Role::Next;
         operation.route = transaction.route;
         operation.freshAt = transaction.beganAt;
         operation.needsPrimary = !transaction.readOnly || operation.route->guarantee == ReadGuarantee::Primary;
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -122,8 +122,9 @@
         return;
     }
     pool.failed(now);
-    pool.find(operation.connection)->session = 0;
-    tryAgain(now, session, pool, AnswerCode::Aborted);
+    BackendConnection &connection = *pool.find(operation.connection);
+    connection.session = 0;
+    tryAgain(now, session, pool, connection.beginning ? AnswerCode::Busy : AnswerCode::Aborted);
     if (session.operation) {
         session.operation->retryAt = now;
     }
@@ -134,7 +135,8 @@
     std::vector<ConnectionId> expired;
     for (auto &[id, pool] : pools_) {
         for (auto &[connection, state] : pool.connections()) {
-            const bool waits = state.use == BackendConnection::Use::Busy || state.use == BackendConnection::Use::Opening;
+            const bool waits
+                = state.use == BackendConnection::Use::Busy || state.use == BackendConnection::Use::Opening;
             if (waits && now > state.deadline) {
                 expired.push_back(connection);
             }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -30,8 +30,8 @@
         for (const BackendHomes &homes : *update.homes) {
             homes_[homes.backend] = homes.entries;
         }
-        log_.log(now, "homes.changed",
-            { { "version", homesVersion_ }, { "servers", std::uint64_t { homes_.size() } } });
+        log_.log(
+            now, "homes.changed", { { "version", homesVersion_ }, { "servers", std::uint64_t { homes_.size() } } });
     }
     for (const ConnectionQuota &quota : update.quotas) {
         quotas_[quota.backend] = quota.connections;
@@ -121,7 +121,8 @@
             ++at;
             continue;
         }
-        log_.log(now, "backend.gone", { { "backend", std::string_view(at->first.value) }, { "index", topology.index } });
+        log_.log(
+            now, "backend.gone", { { "backend", std::string_view(at->first.value) }, { "index", topology.index } });
         while (!at->second.connections().empty()) {
             const ConnectionId connection = at->second.connections().begin()->first;
             actions_.emplace_back(CloseBackendConnection { connection });
--- a/lib/runtime/bytestream.cpp
+++ b/lib/runtime/bytestream.cpp
@@ -30,9 +30,8 @@
 {
     ErrorCode ignored;
     const int descriptor = socket_.native_handle();
-    const auto set = [descriptor](int level, int name, int value) {
-        ::setsockopt(descriptor, level, name, &value, sizeof value);
-    };
+    const auto set
+        = [descriptor](int level, int name, int value) { ::setsockopt(descriptor, level, name, &value, sizeof value); };
     socket_.non_blocking(true, ignored);
     set(IPPROTO_TCP, TCP_NODELAY, 1);
     set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedLimitMs);
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -186,8 +186,8 @@
         return;
     }
     if (knowsLeader_) {
-        context_.log.log(now, "control.lost",
-            { { "control", std::string_view(control_.value) }, { "silent_ms", now - heardAt_ } });
+        context_.log.log(
+            now, "control.lost", { { "control", std::string_view(control_.value) }, { "silent_ms", now - heardAt_ } });
         knowsLeader_ = false;
         mesh_.reset(control_);
     }
@@ -273,8 +273,8 @@
     }
     leaderTerm_ = update.leaderTerm;
     if (!knowsLeader_ || control_ != from) {
-        context_.log.log(now, "control.found",
-            { { "control", std::string_view(from.value) }, { "term", update.leaderTerm } });
+        context_.log.log(
+            now, "control.found", { { "control", std::string_view(from.value) }, { "term", update.leaderTerm } });
     }
     knowsLeader_ = true;
     control_ = from;
--- a/lib/runtime/node.cpp
+++ b/lib/runtime/node.cpp
@@ -20,7 +20,7 @@
 class Node
 {
 public:
-    Node(std::string settingsFile, NodeSettings settings, PlatformHooks hooks, std::shared_ptr<LineSink> sink)
+    Node(std::string settingsFile, NodeSettings settings, PlatformHooks hooks, const std::shared_ptr<LineSink> &sink)
         : settingsFile_(std::move(settingsFile))
         , context_(std::move(settings), std::move(hooks), sink,
               [](std::string_view line) { spdlog::log(spdlog::level::info, "{}", line); })
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -53,8 +53,8 @@
 
 void EntryRegistry::expire(Instant now)
 {
-    if (std::erase_if(sessions_,
-            [this, now](const auto &session) { return now - session.second.heardAt > timing_.entryGone; })
+    if (std::erase_if(
+            sessions_, [this, now](const auto &session) { return now - session.second.heardAt > timing_.entryGone; })
         > 0) {
         totals_.clear();
     }
@@ -68,8 +68,7 @@
     return std::max(shareOf(entry, backend, usable), found == session.granted.end() ? 0 : found->second);
 }
 
-std::uint32_t EntryRegistry::spokenFor(
-    const VmId &except, const BackendId &backend, std::uint32_t usable, bool early)
+std::uint32_t EntryRegistry::spokenFor(const VmId &except, const BackendId &backend, std::uint32_t usable, bool early)
 {
     if (early) {
         std::uint32_t sum = 0;
@@ -89,8 +88,7 @@
     return total.claims - claimOf(except, sessions_.at(except), backend, usable);
 }
 
-std::uint32_t EntryRegistry::shareOf(
-    const VmId &entry, const BackendId &backend, std::uint32_t usable) const
+std::uint32_t EntryRegistry::shareOf(const VmId &entry, const BackendId &backend, std::uint32_t usable) const
 {
     const auto homes = homes_.find(backend);
     if (homes == homes_.end()) {
@@ -125,8 +123,8 @@
 {
     std::map<BackendId, std::vector<VmId>> chosen;
     std::map<VmId, std::size_t> roles;
-    const bool anyKnown = std::any_of(sessions_.begin(), sessions_.end(),
-        [](const auto &entry) { return entry.second.report.homesVersion != 0; });
+    const bool anyKnown = std::any_of(
+        sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.second.report.homesVersion != 0; });
     if (homesVersion_ == 0 && now - since_ < (anyKnown ? timing_.homesDelay : timing_.quotaDelay)) {
         return false;
     }
@@ -273,8 +271,8 @@
     return std::any_of(sessions_.begin(), sessions_.end(), [&](const auto &entry) {
         const ReportedEntry &session = entry.second;
         return session.heardAt >= since
-            && std::any_of(session.report.primaries.begin(), session.report.primaries.end(),
-                [&](const PrimaryObservation &seen) {
+            && std::any_of(
+                session.report.primaries.begin(), session.report.primaries.end(), [&](const PrimaryObservation &seen) {
                     return seen.service == service && seen.backend == backend && seen.answering;
                 });
     });
--- a/lib/supervision/primarywatch.cpp
+++ b/lib/supervision/primarywatch.cpp
@@ -61,8 +61,7 @@
     context.act(ProbeBackend { id, backend, kind, highestTerm_ + 1, timeout });
 }
 
-void PrimaryWatch::record(
-    Instant now, const WatchContext &context, const BackendId &backend, std::string_view reason)
+void PrimaryWatch::record(Instant now, const WatchContext &context, const BackendId &backend, std::string_view reason)
 {
     if (now - recordedAt_ < timing_.changeWait) {
         return;
@@ -216,7 +215,8 @@
             continue;
         }
         // A planned change waits for none, so a backend server that leaves too is no choice.
-        const bool better = best == nullptr || (backend->draining != best->draining ? !backend->draining : rank(*backend) > rank(*best));
+        const bool better = best == nullptr
+            || (backend->draining != best->draining ? !backend->draining : rank(*backend) > rank(*best));
         best = better ? backend : best;
     }
     const bool allAnswered = std::all_of(asked_.begin(), asked_.end(), [this](const BackendId &id) {
@@ -258,8 +258,7 @@
     return true;
 }
 
-bool PrimaryWatch::onPromotion(
-    Instant now, std::uint64_t token, PromotionOutcome outcome, const WatchContext &context)
+bool PrimaryWatch::onPromotion(Instant now, std::uint64_t token, PromotionOutcome outcome, const WatchContext &context)
 {
     if (stage_ != Stage::Promoting || token != token_) {
         return false;
@@ -340,9 +339,8 @@
     if (stage_ != Stage::Watching) {
         return true;
     }
-    const auto since = [now](std::optional<Instant> &at, bool holds) {
-        at = holds ? at.value_or(now) : std::optional<Instant>();
-    };
+    const auto since
+        = [now](std::optional<Instant> &at, bool holds) { at = holds ? at.value_or(now) : std::optional<Instant>(); };
     if (outcome.result != ProbeResult::Silent) {
         since(deposedSince_, outcome.result == ProbeResult::Follows);
         since(refusedSince_, outcome.result == ProbeResult::Refused);
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -86,8 +86,8 @@
                 { "zone", std::string_view(record->record.zone.value) }, { "draining", record->record.draining },
                 { "claims_primary", record->record.claimsPrimary } });
     } else if (const auto *removal = std::get_if<RemoveBackend>(&command); removal != nullptr) {
-        log_.log(now, "backend.removed",
-            { { "backend", std::string_view(removal->backend.value) }, { "index", index } });
+        log_.log(
+            now, "backend.removed", { { "backend", std::string_view(removal->backend.value) }, { "index", index } });
     } else if (const auto *primary = std::get_if<RecordPrimary>(&command); primary != nullptr) {
         log_.log(now, "primary.recorded",
             { { "service", std::string_view(primary->service.value) },
--- a/unittests/config/nodesettingstest.cpp
+++ b/unittests/config/nodesettingstest.cpp
@@ -10,14 +10,12 @@
                                  "peer_port: 7440\nseeds: [\"10.1.0.10:8782\", \"10.2.0.9:8782\"]\nfounding: true\n"
                                  "tolerated: 1\ngrace: 6s\nplatform: 10.200.0.160:8783\n";
 
-TEST_GROUP(NodeSettings)
-{
-    static std::string errorOf(const std::string &text)
-    {
-        const Expected<NodeSettings> settings = parseNodeSettings(text, "node.yaml");
-        return settings ? "" : settings.error().detail;
-    }
-};
+TEST_GROUP(NodeSettings) { static std::string errorOf(const std::string &text) {
+    const Expected<NodeSettings> settings = parseNodeSettings(text, "node.yaml");
+return settings ? "" : settings.error().detail;
+}
+}
+;
 
 TEST(NodeSettings, AnEntryIsReadInFull)
 {
--- a/unittests/platform/controlapitest.cpp
+++ b/unittests/platform/controlapitest.cpp
@@ -10,32 +10,30 @@
 using namespace daisyrelay;
 using namespace daisyrelay::platform;
 
-static const char *const Configuration
+static const char *const ValidText
     = R"({"Version":7,"Routes":[{"Name":"r","Host":"db1","PathPrefix":"/","Type":"read_your_writes","TimeoutMs":800,)"
       R"("GoalMs":250,"Priority":2,"Service":"s1","MaxStalenessMs":2500}],"Services":[{"Name":"s1","MaxConns":41,)"
       R"("SyncReplicas":1}],"Limits":{"TxIdleMs":3000,"MaxBodyBytes":262144}})";
 
-TEST_GROUP(ControlApi)
-{
-    static std::variant<ControlRequest, HttpResponse> post(const std::string &target, const std::string &body)
-    {
-        HttpRequest request;
-        request.method = "POST";
-        request.target = target;
-        request.body = body;
-        return decodeControl(request);
-    }
+TEST_GROUP(ControlApi) { static std::variant<ControlRequest, HttpResponse> post(
+    const std::string &target, const std::string &body) { HttpRequest request;
+request.method = "POST";
+request.target = target;
+request.body = body;
+return decodeControl(request);
+}
 
-    static int statusOf(const std::variant<ControlRequest, HttpResponse> &decoded)
-    {
-        const auto *response = std::get_if<HttpResponse>(&decoded);
-        return response == nullptr ? 0 : response->status;
-    }
-};
+static int statusOf(const std::variant<ControlRequest, HttpResponse> &decoded)
+{
+    const auto *response = std::get_if<HttpResponse>(&decoded);
+    return response == nullptr ? 0 : response->status;
+}
+}
+;
 
 TEST(ControlApi, AConfigurationIsReadInFull)
 {
-    const Expected<RouteConfiguration> configuration = parseConfiguration(Configuration);
+    const Expected<RouteConfiguration> configuration = parseRouteConfiguration(ValidText);
     CHECK(configuration.has_value());
     CHECK_EQUAL(7U, configuration->version);
     CHECK_EQUAL(std::string("db1"), configuration->routes.at(0).database);
@@ -49,21 +47,21 @@
 TEST(ControlApi, AnInvalidConfigurationIsRefused)
 {
     const auto without = [](const std::string &from, const std::string &to) {
-        std::string text = Configuration;
+        std::string text = ValidText;
         text.replace(text.find(from), from.size(), to);
-        return parseConfiguration(text).has_value();
+        return parseRouteConfiguration(text).has_value();
     };
     CHECK(!without("\"Service\":\"s1\"", "\"Service\":\"other\""));
     CHECK(!without("\"TimeoutMs\":800", "\"TimeoutMs\":0"));
     CHECK(!without("\"Version\":7", "\"Version\":\"7\""));
     CHECK(!without("\"Version\":7,", ""));
     CHECK(!without("read_your_writes", "unheard_of"));
-    CHECK(!parseConfiguration(std::string(Configuration).substr(0, 200)).has_value());
-    std::string twice = Configuration;
+    CHECK(!parseRouteConfiguration(std::string(ValidText).substr(0, 200)).has_value());
+    std::string twice = ValidText;
     const std::size_t begin = twice.find("{\"Name\":\"r\"");
     const std::string route = twice.substr(begin, twice.find(']') - begin);
     twice.insert(begin, route + ",");
-    CHECK(!parseConfiguration(twice).has_value());
+    CHECK(!parseRouteConfiguration(twice).has_value());
 }
 
 TEST(ControlApi, AHeartbeatIsReadAndADamagedOneNamesNoServer)
@@ -90,7 +88,7 @@
 TEST(ControlApi, AnyBytesAreRefusedOrReadWithoutHarm)
 {
     CHECK(rc::check([]() {
-        std::string text = Configuration;
+        std::string text = ValidText;
         const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
         const auto size = *rc::gen::inRange<std::size_t>(0, 30);
         text.replace(at, size, *rc::gen::string<std::string>());
--- a/unittests/platform/wirecodectest.cpp
+++ b/unittests/platform/wirecodectest.cpp
@@ -8,27 +8,26 @@
 using namespace daisyrelay;
 using namespace daisyrelay::platform;
 
-TEST_GROUP(WireCodec)
-{
-    static Statement statement(std::string_view line)
-    {
-        const Decoded<CallerMessage> decoded = decodeCaller(line);
-        CHECK_EQUAL(line.size(), decoded.consumed);
-        CHECK(std::holds_alternative<Statement>(decoded.message));
-        return std::get<Statement>(decoded.message);
-    }
+TEST_GROUP(WireCodec) {
+    static Statement statement(std::string_view line) { const Decoded<CallerMessage> decoded = decodeCaller(line);
+CHECK_EQUAL(line.size(), decoded.consumed);
+CHECK(std::holds_alternative<Statement>(decoded.message));
+return std::get<Statement>(decoded.message);
+}
 
-    static std::string encoded(const Statement &value)
-    {
-        std::string out;
-        encodeStatement(out, value);
-        return out;
-    }
-};
+static std::string encoded(const Statement &value)
+{
+    std::string out;
+    encodeStatement(out, value);
+    return out;
+}
+}
+;
 
 TEST(WireCodec, StatementsOfCallersGoOnUnchanged)
 {
-    for (const char *line : { "QUERY a1 FETCH 1a4\r\n", "QUERY a2 PUT 1a4 some data here\r\n", "QUERY a3 COMMIT\r\n" }) {
+    for (const char *line :
+        { "QUERY a1 FETCH 1a4\r\n", "QUERY a2 PUT 1a4 some data here\r\n", "QUERY a3 COMMIT\r\n" }) {
         CHECK_EQUAL(std::string(line), encoded(statement(line)));
     }
 }
--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -63,8 +63,7 @@
     return id;
 }
 
-std::string FakeService::send(
-    SessionId session, StatementType kind, const std::string &rest, const std::string &more)
+std::string FakeService::send(SessionId session, StatementType kind, const std::string &rest, const std::string &more)
 {
     Statement statement;
     statement.id = "q" + std::to_string(nextId_++);
--- /dev/null
+++ b/unittests/proxy/overloadtest.cpp
@@ -0,0 +1,69 @@
+// A service whose replicas are behind, so that its primary gets more than it can run: who is served, and who is told.
+#include "fakeservice.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Overload)
+{
+    FakeService service { 1 };
+
+    void setup() override
+    {
+        service.configure(ReadGuarantee::Primary, 1000ms);
+        service.announce(1);
+    }
+
+    void teardown() override
+    {
+        CHECK_EQUAL(std::string(), service.violation);
+    }
+};
+
+TEST(Overload, ABacklogDoesNotMakeEveryoneLate)
+{
+    // One connection runs a read in about 9 ms, so 110 a second; twice as many are asked.
+    constexpr int Callers = 60;
+    std::vector<SessionId> sessions;
+    std::map<SessionId, Instant> askedAt;
+    for (int at = 0; at < Callers; ++at) {
+        sessions.push_back(service.open("c" + std::to_string(at)));
+    }
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    std::size_t next = 0;
+    for (int millisecond = 0; millisecond < 3000; ++millisecond) {
+        if (millisecond % 5 == 0) {
+            const SessionId session = sessions[next++ % sessions.size()];
+            if (!askedAt.contains(session)) {
+                askedAt[session] = service.now;
+                service.send(session, StatementType::Read, "x");
+            }
+        }
+        service.run(1ms);
+        for (const SessionId session : sessions) {
+            std::deque<CallerAnswer> &answers = service.callers[session].answers;
+            if (answers.empty()) {
+                continue;
+            }
+            const Duration took = service.now - askedAt.at(session);
+            if (answers.front().code != AnswerCode::Ok) {
+                ++refused;
+                CHECK(answers.front().detail.find("come back in") != std::string::npos);
+            } else if (took <= 200ms) {
+                ++inTime;
+            } else {
+                ++late;
+            }
+            answers.clear();
+            askedAt.erase(session);
+        }
+    }
+    // The connection is busy all the time, for callers that still want the answer.
+    CHECK(inTime > 200);
+    CHECK(late < inTime / 10);
+    CHECK(refused > 0);
+}
--- a/unittests/supervision/entryregistrytest.cpp
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -21,7 +21,8 @@
         configuration.version = 1;
         configuration.services.push_back({ ServiceId { "s" }, 16, 0 });
         state.apply(1, PutConfiguration { configuration, "" });
-        state.apply(2, RecordBackend { { BackendId { "b" }, 1, ServiceId { "s" }, "10.0.0.1", 80, {}, 2, false, true } });
+        state.apply(
+            2, RecordBackend { { BackendId { "b" }, 1, ServiceId { "s" }, "10.0.0.1", 80, {}, 2, false, true } });
         registry.reset(now);
         now += 2s;
     }
@@ -97,7 +98,8 @@
     for (int at = 0; at < 23; ++at) {
         const std::string id = "b" + std::to_string(at);
         state.apply(static_cast<std::uint64_t>(at) + 4,
-            RecordBackend { { BackendId { id }, 1, ServiceId { "s" }, "10.0.1." + std::to_string(at), 80, {}, 2, false, false } });
+            RecordBackend {
+                { BackendId { id }, 1, ServiceId { "s" }, "10.0.1." + std::to_string(at), 80, {}, 2, false, false } });
     }
     registry.reset(now);
     constexpr int Entries = 79;
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -104,8 +104,8 @@
     std::uint64_t beat(const std::string &name, std::uint64_t sequence, std::int64_t born = 1, bool draining = false)
     {
         BackendHeartbeat heartbeat;
-        heartbeat.record = { BackendId { name }, born, ServiceId { "s" }, "10.0.0." + name.substr(1), 80, {}, 2, draining,
-            name == leads };
+        heartbeat.record = { BackendId { name }, born, ServiceId { "s" }, "10.0.0." + name.substr(1), 80, {}, 2,
+            draining, name == leads };
         heartbeat.sequence = sequence;
         return ask(heartbeat);
     }
