--- a/lib/consensus/election.cpp
+++ b/lib/consensus/election.cpp
@@ -120,10 +120,11 @@
 }
 
 // Whether a vote counts is for the candidate to know: its membership can be newer than the one known here.
-// A VM that has just started does not know whether it heard from a leader right before, so it waits out any lease.
+// A VM that has just started does not know whether it heard from a leader right before, so it waits out any lease. One
+// without any membership must not help to elect a leader: the term that it would take keeps it from founding.
 bool RaftCore::mayVote(Instant now) const
 {
-    return vouched_ && !blocked_ && now - startedAt_ >= options_.electionTimeout;
+    return !log_.membership().members.empty() && vouched_ && !blocked_ && now - startedAt_ >= options_.electionTimeout;
 }
 
 Instant RaftCore::leaseUntil() const
