--- a/lib/consensus/election.cpp
+++ b/lib/consensus/election.cpp
@@ -79,9 +79,12 @@
     const bool upToDate = LogPoint { message.lastTerm, message.lastIndex } >= log_.last();
     const bool current = pre ? message.term > hardState_.term : message.term == hardState_.term;
     const bool free = pre || hardState_.votedFor.empty() || hardState_.votedFor == message.from;
+    // While nothing is in the log, a VM that has not stored the founding must not help to elect a leader: the term that
+    // it would take keeps it from storing it.
+    const bool founded = !log_.membership().members.empty() || message.lastIndex > 0;
     RaftMessage answer;
     answer.kind = pre ? RaftMessageKind::PreVoteAnswer : RaftMessageKind::VoteAnswer;
-    answer.granted = current && upToDate && free && mayVote(now) && role_ != RaftRole::Leader;
+    answer.granted = founded && current && upToDate && free && mayVote(now) && role_ != RaftRole::Leader;
     if (answer.granted && !pre) {
         hardStateDirty_ = hardStateDirty_ || hardState_.votedFor != message.from;
         hardState_.votedFor = message.from;
@@ -120,11 +123,10 @@
 }
 
 // Whether a vote counts is for the candidate to know: its membership can be newer than the one known here.
-// A VM that has just started does not know whether it heard from a leader right before, so it waits out any lease. One
-// without any membership must not help to elect a leader: the term that it would take keeps it from founding.
+// A VM that has just started does not know whether it heard from a leader right before, so it waits out any lease.
 bool RaftCore::mayVote(Instant now) const
 {
-    return !log_.membership().members.empty() && vouched_ && !blocked_ && now - startedAt_ >= options_.electionTimeout;
+    return vouched_ && !blocked_ && now - startedAt_ >= options_.electionTimeout;
 }
 
 Instant RaftCore::leaseUntil() const
