--- a/include/daisyrelay/base.h
+++ b/include/daisyrelay/base.h
@@ -6,4 +6,5 @@
 #include "daisyrelay/base/errorkind.h"
 #include "daisyrelay/base/ids.h"
 #include "daisyrelay/base/latencystats.h"
+#include "daisyrelay/base/randomnumber.h"
 #include "daisyrelay/base/time.h"
--- a/include/daisyrelay/io.h
+++ b/include/daisyrelay/io.h
@@ -4,5 +4,6 @@
 #include "daisyrelay/io/httpconnection.h"
 #include "daisyrelay/io/httpserver.h"
 #include "daisyrelay/io/httptypes.h"
+#include "daisyrelay/io/listen.h"
 #include "daisyrelay/io/posixfilesystem.h"
 #include "daisyrelay/io/raftdriver.h"
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -89,6 +89,9 @@
     /// Returns a connection that has not been needed for long, if there is one to spare.
     [[nodiscard]] std::optional<ConnectionId> unneeded(Instant now) const;
 
+    /// Returns how many connections there are, those being opened too.
+    [[nodiscard]] std::size_t open() const;
+
     [[nodiscard]] std::size_t inUse() const;
     [[nodiscard]] std::size_t idle() const;
     [[nodiscard]] std::size_t opening() const;
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -120,7 +120,7 @@
 
     // statements.cpp
     void answerLocally(Session &session, AnswerCode code = AnswerCode::Ok, std::string detail = {});
-    void keepName(Instant now, Session &session, const Statement &statement);
+    void keepName(Session &session, const Statement &statement);
     void begin(Instant now, Session &session, const Statement &statement);
     void rollBack(Instant now, Session &session);
     void run(Instant now, Session &session, Statement statement);
@@ -164,8 +164,8 @@
     void appendSessionState(const Session &session, const PendingStatement &operation, BackendConnection &connection,
         std::vector<Statement> &out);
     const std::string &preparedName(const PreparedStatement &statement);
-    void sample(Instant now, const ServiceId &id, Service &service);
-    void cleanUp(Instant now, BackendPool &pool, BackendConnection &connection);
+    void sample(Instant now, Service &service);
+    void cleanUp(Instant now, BackendConnection &connection);
     void release(Instant now, BackendPool &pool, BackendConnection &connection);
     void closeSurplus(Instant now, BackendPool &pool);
     void closeConnection(Instant now, BackendPool &pool, ConnectionId connection, ConnectionLoss loss);
--- /dev/null
+++ b/lib/base/randomnumber.cpp
@@ -0,0 +1,14 @@
+#include "daisyrelay/base/randomnumber.h"
+
+#include <random>
+
+namespace daisyrelay {
+
+std::uint64_t drawRandomNumber()
+{
+    std::random_device device;
+    constexpr unsigned HalfBits = 32;
+    return (std::uint64_t { device() } << HalfBits) | device();
+}
+
+} // namespace daisyrelay
--- a/lib/io/httpserver.cpp
+++ b/lib/io/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "daisyrelay/io/httpserver.h"
 
+#include "daisyrelay/io/listen.h"
+
 #include <map>
 #include <optional>
 
@@ -220,15 +222,8 @@
 
 Expected<void> HttpServer::listen(const Endpoint &address)
 {
-    try {
-        const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-        state_->acceptor.open(endpoint.protocol());
-        state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
-        state_->acceptor.bind(endpoint);
-        state_->acceptor.listen(asio::socket_base::max_listen_connections);
-    } catch (const boost::system::system_error &error) {
-        return tl::unexpected(Error { ErrorKind::InvalidConfig,
-            "can not listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.code().message() });
+    if (Expected<void> listening = listenOn(state_->acceptor, address); !listening) {
+        return listening;
     }
     acceptNext(state_);
     return {};
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -3,7 +3,6 @@
 #include "protocol.h"
 
 #include <boost/asio/post.hpp>
-#include <random>
 
 #include <spdlog/spdlog.h>
 
@@ -18,9 +17,7 @@
             options.controlVms.push_back(seed.id);
         }
     }
-    std::random_device device;
-    constexpr unsigned BitsOfDevice = 32;
-    options.seed = (static_cast<std::uint64_t>(device()) << BitsOfDevice) | device();
+    options.seed = drawRandomNumber();
     return options;
 }
 
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -207,6 +207,11 @@
     return found;
 }
 
+std::size_t BackendPool::open() const
+{
+    return connections_.size();
+}
+
 std::size_t BackendPool::inUse() const
 {
     return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) {
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -132,7 +132,7 @@
     actions_.emplace_back(std::move(exchange));
 }
 
-void ProxyCore::sample(Instant now, const ServiceId & /*id*/, Service &service)
+void ProxyCore::sample(Instant now, Service &service)
 {
     BackendPool *pool = poolOf(service.primary.backend);
     BackendConnection *connection = pool == nullptr ? nullptr : pool->pickIdle({});
@@ -151,7 +151,7 @@
     start(now, *connection, { connection->id, { own(StatementType::Begin), own(StatementType::Rollback) } });
 }
 
-void ProxyCore::cleanUp(Instant now, BackendPool & /*pool*/, BackendConnection &connection)
+void ProxyCore::cleanUp(Instant now, BackendConnection &connection)
 {
     connection.purpose = BackendConnection::Purpose::Cleanup;
     connection.session = 0;
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -326,7 +326,7 @@
     const BackendPool *pool = poolOf(service.primary.backend);
     constexpr Duration Gather = std::chrono::milliseconds(10); // One question serves all that come close together.
     if (pool != nullptr && pool->quota() > 0 && now - service.sampledAt >= Gather) {
-        sample(now, request.service, service);
+        sample(now, service);
     }
 }
 
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -125,7 +125,7 @@
         if (current) {
             sendBehindBegin(now, *session, connection);
         } else {
-            cleanUp(now, pool, connection);
+            cleanUp(now, connection);
         }
         return;
     }
@@ -146,7 +146,7 @@
         if (state == TransactionState::Idle) {
             release(now, pool, connection);
         } else {
-            cleanUp(now, pool, connection);
+            cleanUp(now, connection);
         }
         return;
     }
@@ -179,7 +179,7 @@
     if (state == TransactionState::Idle) {
         release(now, pool, connection);
     } else {
-        cleanUp(now, pool, connection);
+        cleanUp(now, connection);
     }
 }
 
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -60,7 +60,7 @@
         BackendConnection &held = *pool.find(connection);
         held.session = 0;
         if (held.use == BackendConnection::Use::Held) {
-            cleanUp(now, pool, held);
+            cleanUp(now, held);
         }
     }
     sessions_.erase(found);
@@ -106,7 +106,7 @@
     report.homesVersion = homesVersion_;
     report.leaving = drainSince_.has_value();
     for (const auto &[id, pool] : pools_) {
-        const auto open = static_cast<std::uint32_t>(const_cast<BackendPool &>(pool).connections().size());
+        const auto open = static_cast<std::uint32_t>(pool.open());
         if (const std::uint32_t held = std::max(pool.quota(), open); held > 0) {
             report.held.push_back({ id, held });
         }
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -24,7 +24,7 @@
     case StatementType::Set:
     case StatementType::Prepare:
     case StatementType::Deallocate:
-        keepName(now, *session, statement);
+        keepName(*session, statement);
         break;
     case StatementType::Reset:
     case StatementType::Status:
@@ -79,7 +79,7 @@
     }
 }
 
-void ProxyCore::keepName(Instant /*now*/, Session &session, const Statement &statement)
+void ProxyCore::keepName(Session &session, const Statement &statement)
 {
     switch (statement.kind) {
     case StatementType::Set:
@@ -136,7 +136,7 @@
         BackendPool &pool = *poolOf(at->second);
         BackendConnection &connection = *pool.find(id);
         connection.session = 0;
-        cleanUp(now, pool, connection);
+        cleanUp(now, connection);
     }
 }
 
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -214,7 +214,7 @@
             if (pool != nullptr && !reached && homes_.contains(service.primary.backend)) {
                 askPosition(now, id, service);
             } else {
-                sample(now, id, service);
+                sample(now, service);
             }
         }
     }
--- a/lib/runtime/callerlinks.cpp
+++ b/lib/runtime/callerlinks.cpp
@@ -18,15 +18,8 @@
 
 Expected<void> CallerLinks::listen(const Endpoint &address)
 {
-    try {
-        const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-        acceptor_.open(endpoint.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(endpoint);
-        acceptor_.listen(asio::socket_base::max_listen_connections);
-    } catch (const boost::system::system_error &error) {
-        return tl::unexpected(Error { ErrorKind::InvalidConfig,
-            "can not listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.code().message() });
+    if (Expected<void> listening = listenOn(acceptor_, address); !listening) {
+        return listening;
     }
     accept();
     return {};
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -1,7 +1,6 @@
 #include "controlnode.h"
 
 #include <algorithm>
-#include <random>
 
 namespace daisyrelay {
 
@@ -14,16 +13,9 @@
 static constexpr Duration DrainTime = std::chrono::milliseconds(1500);
 static constexpr std::size_t MostRequests = 4096;
 
-static std::uint64_t drawNumber()
-{
-    std::random_device device;
-    constexpr unsigned HalfBits = 32;
-    return (std::uint64_t { device() } << HalfBits) | device();
-}
-
 ControlNode::ControlNode(NodeContext &context)
     : context_(context)
-    , supervisor_(context.log, context.metrics, drawNumber())
+    , supervisor_(context.log, context.metrics, drawRandomNumber())
     , mesh_(context.io, context.settings.id, context.settings.peerPort,
           [this](const VmId &from, ClusterPayload payload) { onPeer(from, std::move(payload)); })
     , probes_(context.io, context.platform,
@@ -42,7 +34,7 @@
     options.self = context_.settings.id;
     options.zone = context_.settings.zone;
     options.controlVms = context_.settings.seeds;
-    options.seed = drawNumber();
+    options.seed = drawRandomNumber();
     options.mayFound = context_.settings.founding;
     options.openMembership = true;
     options.voters = 2 * std::size_t { context_.settings.tolerated } + 1;
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -1,7 +1,6 @@
 #include "entrynode.h"
 
 #include <algorithm>
-#include <random>
 
 namespace daisyrelay {
 
@@ -14,18 +13,11 @@
 static constexpr Duration ControlSilence = std::chrono::milliseconds(600);
 static constexpr Duration PeerInterval = std::chrono::milliseconds(300);
 static constexpr Duration ControlRotation = std::chrono::milliseconds(150);
-static std::uint64_t drawNumber()
-{
-    std::random_device device;
-    constexpr unsigned HalfBits = 32;
-    return (std::uint64_t { device() } << HalfBits) | device();
-}
-
 static constexpr Duration SettingsInterval = std::chrono::seconds(2);
 
 EntryNode::EntryNode(NodeContext &context)
     : context_(context)
-    , run_(drawNumber())
+    , run_(drawRandomNumber())
     , core_(context.settings.zone, context.log, context.metrics, run_)
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
--- a/lib/runtime/peermesh.cpp
+++ b/lib/runtime/peermesh.cpp
@@ -1,5 +1,7 @@
 #include "peermesh.h"
 
+#include "daisyrelay/io.h"
+
 #include <array>
 
 namespace daisyrelay {
@@ -21,15 +23,8 @@
 
 Expected<void> PeerMesh::listen()
 {
-    try {
-        const tcp::endpoint endpoint(asio::ip::make_address(self_.value), port_);
-        acceptor_.open(endpoint.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(endpoint);
-        acceptor_.listen(asio::socket_base::max_listen_connections);
-    } catch (const boost::system::system_error &error) {
-        return tl::unexpected(Error { ErrorKind::InvalidConfig,
-            "can not listen on " + self_.value + ":" + std::to_string(port_) + ": " + error.code().message() });
+    if (Expected<void> listening = listenOn(acceptor_, Endpoint { self_.value, port_ }); !listening) {
+        return listening;
     }
     accept();
     return {};
