--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -202,27 +202,21 @@
     Server &server = servers[connection.server];
     BackendAnswer answer;
     const bool leads = connection.server == primary;
-    const auto refuse = [&](AnswerCode code) {
-        answer.code = code;
-        if (connection.inTransaction) {
-            answer.state = TransactionState::Failed;
-        }
-    };
     answer.state = connection.inTransaction ? TransactionState::Open : TransactionState::Idle;
     answer.position = server.applied;
     const bool pinned = connection.inTransaction && !connection.readOnly;
     const bool works = statement.kind == StatementType::Read || statement.kind == StatementType::Write
         || statement.kind == StatementType::Execute || statement.kind == StatementType::Commit;
     if (statement.since && server.applied < *statement.since) {
-        refuse(AnswerCode::Lagging);
+        refuse(connection, answer, AnswerCode::Lagging);
         return answer;
     }
     if (works && server.busy) {
-        refuse(AnswerCode::Busy);
+        refuse(connection, answer, AnswerCode::Busy);
         return answer;
     }
     if (works && pinned && !leads && !(statement.kind == StatementType::Commit && connection.pending.empty())) {
-        refuse(AnswerCode::NotPrimary);
+        refuse(connection, answer, AnswerCode::NotPrimary);
         return answer;
     }
     if (works) {
@@ -231,11 +225,26 @@
         connection.owner = connection.inTransaction ? callers[ownerOfStatement[statement.id]].name : "";
         answer.proof = connection.server + "." + statement.id;
     }
+    apply(connection, statement, answer);
+    return answer;
+}
+
+void FakeService::refuse(const Connection &connection, BackendAnswer &answer, AnswerCode code)
+{
+    answer.code = code;
+    answer.proof.clear();
+    answer.state = connection.inTransaction ? TransactionState::Failed : answer.state;
+}
+
+void FakeService::apply(Connection &connection, const Statement &statement, BackendAnswer &answer)
+{
+    const Server &server = servers[connection.server];
+    const bool leads = connection.server == primary;
     switch (statement.kind) {
     case StatementType::Begin:
         if (!leads) {
-            refuse(AnswerCode::NotPrimary);
-            return answer;
+            refuse(connection, answer, AnswerCode::NotPrimary);
+            return;
         }
         [[fallthrough]];
     case StatementType::BeginReadOnly:
@@ -266,12 +275,12 @@
         connection.prepared[statement.name] = (statement.preparesWrite ? "PUT " : "FETCH ") + statement.argument;
         break;
     case StatementType::Read:
-        return runRead(connection, statement, statement.text);
+        answer = runRead(connection, statement, statement.text);
+        break;
     case StatementType::Write:
         if (!leads) {
-            answer.proof.clear();
-            refuse(AnswerCode::NotPrimary);
-            return answer;
+            refuse(connection, answer, AnswerCode::NotPrimary);
+            return;
         }
         connection.pending.push_back({ statement.id, statement.text, statement.id, 0 });
         if (!connection.inTransaction) {
@@ -281,16 +290,14 @@
         break;
     case StatementType::Execute:
         if (!connection.prepared.contains(statement.name)) {
-            answer.proof.clear();
-            refuse(AnswerCode::UnknownStatement);
-            return answer;
+            refuse(connection, answer, AnswerCode::UnknownStatement);
+            return;
         }
         answer.rows.push_back(connection.prepared[statement.name]);
         break;
     default:
         break;
     }
-    return answer;
 }
 
 BackendAnswer FakeService::runRead(Connection &connection, const Statement &statement, const std::string &item)
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -99,6 +99,8 @@
     void later(Duration delay, std::function<void()> act);
     void runExchange(const RunExchange &exchange);
     BackendAnswer runStatement(Connection &connection, const Statement &statement);
+    static void refuse(const Connection &connection, BackendAnswer &answer, AnswerCode code);
+    void apply(Connection &connection, const Statement &statement, BackendAnswer &answer);
     BackendAnswer runRead(Connection &connection, const Statement &statement, const std::string &item);
     void commit(Connection &connection, const std::string &id);
     void checkPinned(const Connection &connection, const Statement &statement);
--- a/unittests/proxy/overloadtest.cpp
+++ b/unittests/proxy/overloadtest.cpp
@@ -27,6 +27,7 @@
     // One connection runs a read in about 9 ms, so 110 a second; twice as many are asked.
     constexpr int Callers = 60;
     std::vector<SessionId> sessions;
+    sessions.reserve(Callers);
     std::map<SessionId, Instant> askedAt;
     for (int at = 0; at < Callers; ++at) {
         sessions.push_back(service.open("c" + std::to_string(at)));
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -110,8 +110,8 @@
         return ask(heartbeat);
     }
 
-    /// Runs for \p duration; all servers but silent and refusing ones go on sending heartbeats.
-    void run(Duration duration)
+    /// Lets time pass for \p duration; all servers but silent and refusing ones go on sending heartbeats.
+    void pass(Duration duration)
     {
         for (const Instant end = now + duration; now < end; now += 10ms) {
             supervisor.tick(now);
@@ -125,7 +125,7 @@
         for (const char *name : { "b0", "b1", "b2" }) {
             beat(name, 1);
         }
-        run(300ms);
+        pass(300ms);
     }
 
     std::string primary() const
@@ -139,7 +139,7 @@
 {
     commits = false;
     const std::uint64_t request = put(3);
-    run(100ms);
+    pass(100ms);
     CHECK(!answers.contains(request));
     commitNext();
     CHECK(supervisor.state().configuration().version == 3);
@@ -151,7 +151,7 @@
 {
     commits = false;
     const std::uint64_t request = put(3);
-    run(900ms);
+    pass(900ms);
     CHECK(answers.at(request).status == ControlStatus::Unavailable);
 }
 
@@ -182,7 +182,7 @@
 TEST(Supervisor, ThePrimaryThatIsFoundIsAdoptedAndNeverPromoted)
 {
     startService();
-    run(10s);
+    pass(10s);
     CHECK_EQUAL(std::string("b0"), primary());
     CHECK(promotions.empty());
 }
@@ -214,14 +214,14 @@
     startService();
     positions = { { "b1", { 1, 5 } }, { "b2", { 1, 9 } } };
     silent.insert("b0");
-    run(700ms);
+    pass(700ms);
     CHECK_EQUAL(1U, promotions.size());
     CHECK_EQUAL(std::string("b2"), promotions.front().backend.value);
     supervisor.onPromotion(now, ServiceId { "s" }, promotions.front().fencingToken, PromotionOutcome::Accepted);
-    run(200ms);
+    pass(200ms);
     CHECK_EQUAL(std::string("b0"), primary()); // Accepted is not done yet.
     leads = "b2";
-    run(100ms);
+    pass(100ms);
     CHECK_EQUAL(std::string("b2"), primary());
 }
 
@@ -229,16 +229,16 @@
 {
     startService();
     silent.insert("b0");
-    run(700ms);
+    pass(700ms);
     CHECK_EQUAL(1U, promotions.size());
     supervisor.onPromotion(now, ServiceId { "s" }, promotions.front().fencingToken, PromotionOutcome::Unknown);
-    run(100ms);
+    pass(100ms);
     CHECK_EQUAL(2U, promotions.size());
     CHECK(promotions[1].fencingToken > promotions[0].fencingToken);
     CHECK(promotions[1].backend == promotions[0].backend);
     // The answer to the first one, should it still come, decides nothing.
     supervisor.onPromotion(now, ServiceId { "s" }, promotions[0].fencingToken, PromotionOutcome::Rejected);
-    run(500ms);
+    pass(500ms);
     CHECK_EQUAL(2U, promotions.size());
 }
 
@@ -246,9 +246,9 @@
 {
     startService();
     silent.insert("b0");
-    run(700ms);
+    pass(700ms);
     supervisor.onPromotion(now, ServiceId { "s" }, promotions.front().fencingToken, PromotionOutcome::Rejected);
-    run(500ms);
+    pass(500ms);
     CHECK_EQUAL(2U, promotions.size());
     CHECK(promotions[1].fencingToken > promotions[0].fencingToken);
 }
@@ -263,7 +263,7 @@
         report.sequence = round;
         report.primaries.push_back({ ServiceId { "s" }, BackendId { "b0" }, true, false });
         supervisor.onReport(now, VmId { "e" }, report);
-        run(100ms);
+        pass(100ms);
     }
     CHECK(promotions.empty());
 }
@@ -272,7 +272,7 @@
 {
     startService();
     beat("b0", 2, 1, true);
-    run(400ms);
+    pass(400ms);
     CHECK_EQUAL(1U, promotions.size());
     CHECK(promotions.front().backend.value != "b0");
 }
@@ -283,13 +283,13 @@
     for (const char *name : { "b0", "b1", "b2" }) {
         beat(name, 1);
     }
-    run(300ms);
+    pass(300ms);
     silent = { "b0", "b2" };
-    run(2s);
+    pass(2s);
     CHECK(promotions.empty()); // The acknowledged write may be on the silent one.
     CHECK(std::find(probed.begin(), probed.end(), ProbeKind::Pause) != probed.end());
     silent = { "b0" };
-    run(1s);
+    pass(1s);
     CHECK_EQUAL(1U, promotions.size());
 }
 
@@ -313,7 +313,7 @@
     updates.clear();
     for (std::uint64_t version = 2; version <= 41; ++version) {
         put(version);
-        run(50ms);
+        pass(50ms);
     }
     std::size_t sent = 0;
     for (const EntryUpdate &update : updates) {
