--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -36,7 +36,7 @@
             return false;
         }
     }
-    // An address has one tenant; whoever had it before is gone.
+    // One backend server runs at an address; whichever ran there before is gone.
     for (auto at = backends_.begin(); at != backends_.end();) {
         const BackendRecord &other = at->second;
         if (other.id != record.id && other.host == record.host && other.port == record.port) {
