Say once what the proxy said in several places

Found by reading the whole change again; behaviour stays as it was, but for one settings read that entries did at their start right after reading the same file. - a statement was put back into its queue in four places, a connection opened in two, what a success leaves in a session written twice, and the test for a primary that is reached through others too: one function each - versions of configuration and topology were kept beside the objects that hold them - each answer to a report built the whole topology to compare its index - the rank of a survey compared by hand what a pair compares; a start of leadership was set twice; an option, a counter and a member of a fake that nothing read are gone

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -129,6 +129,7 @@
 
     // dispatch.cpp
     void enqueue(Instant now, Session &session);
+    void wait(const Session &session);
     void dequeue(const Session &session);
     void dispatch(Instant now, const ServiceId &service);
     Placement place(Instant now, Session &session, Service &service);
@@ -138,6 +139,7 @@
         Instant now, const PendingStatement &operation, const Service &service, bool idleOnly, bool guest);
     [[nodiscard]] std::optional<LogPoint> positionFor(
         const Session &session, const PendingStatement &operation, const Service &service) const;
+    void openConnection(Instant now, BackendPool &pool);
     void openFor(Instant now, BackendPool &pool, std::size_t demand);
     void refuse(Instant now, Session &session, AnswerCode code, std::string_view reason, Duration comeBack);
 
@@ -153,6 +155,8 @@
     void checkRemote(Instant now, Session &session);
     void askPosition(Instant now, const ServiceId &id, Service &service);
     void answerPositions(const ServiceId &id, Service &service, Instant askedAt, const LogPoint &point);
+    /// Whether the primary is reached through other entries only.
+    [[nodiscard]] bool needsRelay(Instant now, const Service &service) const;
     [[nodiscard]] bool hasLocalServer(const ServiceId &service) const;
 
     // exchanges.cpp
@@ -174,6 +178,7 @@
     void onPayload(Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendAnswer> &answers);
     void succeed(
         Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendAnswer &answer);
+    void keepOutcome(Session &session, const std::optional<LogPoint> &position, std::uint64_t generation);
     void tryAgain(Instant now, Session &session, BackendPool &pool, AnswerCode code);
     void fail(Instant now, Session &session, BackendAnswer &answer);
     void loseAnswer(Instant now, Session &session, std::string_view reason);
@@ -205,8 +210,6 @@
     ProxyTiming timing_;
     RouteConfiguration configuration_;
     Topology topology_;
-    std::uint64_t configVersion_ = 0;
-    std::uint64_t topologyIndex_ = 0;
     Duration transactionIdle_ {};
     std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes_;
     std::map<ServiceId, Service> services_;
--- a/include/daisyrelay/runtime/platformhooks.h
+++ b/include/daisyrelay/runtime/platformhooks.h
@@ -60,8 +60,6 @@
 
 /// Pure functions; none holds state.
 struct PlatformHooks {
-    std::size_t largestMessage = 0; ///< Bytes; a longer one is malformed.
-
     // Callers and backend servers.
     std::function<Decoded<CallerMessage>(std::string_view bytes)> decodeCaller;
     std::function<void(std::string &out)> encodeGreeting;
--- a/include/daisyrelay/supervision/supervisionstate.h
+++ b/include/daisyrelay/supervision/supervisionstate.h
@@ -28,6 +28,7 @@
     [[nodiscard]] const PrimaryRecord *primaryOf(const ServiceId &service) const;
 
     [[nodiscard]] const ServiceLimits *limitsOf(const ServiceId &service) const;
+    [[nodiscard]] std::uint64_t topologyIndex() const;
     [[nodiscard]] Topology topology() const;
 
     /// Tells whether \p record belongs to a life that is known to be over.
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -23,10 +23,16 @@
         send(now, session, *pool, *connection, std::nullopt);
         return;
     }
+    wait(session);
+    dispatch(now, operation.route->service);
+}
+
+void ProxyCore::wait(const Session &session)
+{
+    const PendingStatement &operation = *session.operation;
     Service &service = serviceOf(operation.route->service);
     service.waiting.insert({ operation.route->priority, operation.arrivedAt, session.id });
     service.waitingForPrimary += operation.needsPrimary ? 1 : 0;
-    dispatch(now, operation.route->service);
 }
 
 void ProxyCore::dequeue(const Session &session)
@@ -93,8 +99,7 @@
 ProxyCore::Placement ProxyCore::placeAtPrimary(Instant now, Session &session, Service &service)
 {
     BackendPool *pool = poolOf(service.primary.backend);
-    const bool reached = pool != nullptr && pool->quota() > 0 && !pool->unreachable(now);
-    if (pool != nullptr && !reached && homes_.contains(service.primary.backend)) {
+    if (needsRelay(now, service)) {
         if (!session.guest) {
             return placeRemotely(now, session, service, true);
         }
@@ -190,13 +195,18 @@
 {
     pool.noteDemand(now, pool.inUse() + demand);
     while (pool.opening() < demand && pool.mayOpen(now)) {
-        BackendConnection &connection = pool.open(now, nextConnection_++);
-        connections_[connection.id] = pool.record().id;
-        metrics_.add("connections_opened_total");
-        actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout });
+        openConnection(now, pool);
     }
 }
 
+void ProxyCore::openConnection(Instant now, BackendPool &pool)
+{
+    const BackendConnection &connection = pool.open(now, nextConnection_++);
+    connections_[connection.id] = pool.record().id;
+    metrics_.add("connections_opened_total");
+    actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout });
+}
+
 void ProxyCore::refuse(Instant now, Session &session, AnswerCode code, std::string_view reason, Duration comeBack)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(comeBack).count();
@@ -215,7 +225,7 @@
             { "primary", std::string_view(service.primary.backend.value) },
             { "primary_answer_age_ms", answered ? now - *answered : Never },
             { "position_age_ms", sampled ? now - *sampled : Never }, { "failing_over", service.failingOver },
-            { "config_version", configVersion_ }, { "topology_index", topologyIndex_ } });
+            { "config_version", configuration_.version }, { "topology_index", topology_.index } });
     CallerAnswer answer;
     answer.code = code;
     answer.detail = std::string(reason) + ", come back in " + std::to_string(milliseconds) + " ms";
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -16,6 +16,13 @@
         [&](const auto &entry) { return entry.second.record().service == service && entry.second.quota() > 0; });
 }
 
+bool ProxyCore::needsRelay(Instant now, const Service &service) const
+{
+    const BackendPool *pool = poolOf(service.primary.backend);
+    return pool != nullptr && (pool->quota() == 0 || pool->unreachable(now))
+        && homes_.contains(service.primary.backend);
+}
+
 const VmId *ProxyCore::homeOf(Instant now, const BackendId &backend) const
 {
     const auto found = homes_.find(backend);
@@ -189,9 +196,7 @@
             pool != nullptr && reply.answer.code == AnswerCode::Lagging) {
             pool->noteLag(now);
         }
-        Service &service = serviceOf(operation.route->service);
-        service.waiting.insert({ operation.route->priority, operation.arrivedAt, session->id });
-        service.waitingForPrimary += operation.needsPrimary ? 1 : 0;
+        wait(*session);
         dispatch(now, operation.route->service);
         return;
     }
@@ -203,17 +208,9 @@
 
 void ProxyCore::succeedRemotely(Instant now, Session &session, const VmId &home, const GuestAnswer &reply)
 {
-    const PendingStatement &operation = *session.operation;
-    const bool commits = operation.statement.kind == StatementType::Commit;
-    const bool wrote = commits ? session.transaction->wrote : (operation.writes && !session.transaction);
-    if (wrote && reply.answer.position) {
-        session.floor = WriteFloor { *reply.answer.position, reply.generation };
-    }
-    if (commits) {
-        session.transaction.reset();
-    } else if (session.transaction) {
+    keepOutcome(session, reply.answer.position, reply.generation);
+    if (session.transaction) {
         session.transaction->home = home;
-        session.transaction->wrote = session.transaction->wrote || operation.writes;
     }
     CallerAnswer answer = reply.answer;
     finish(now, session, std::move(answer));
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -51,7 +51,7 @@
         metrics_.add("connections_not_opened_total");
         log_.log(now, "connection.not-opened",
             { { "backend", std::string_view(pool.record().id.value) }, { "loss", static_cast<std::uint64_t>(loss) },
-                { "topology_index", topologyIndex_ } });
+                { "topology_index", topology_.index } });
     } else if (connection.use == BackendConnection::Use::Busy || connection.use == BackendConnection::Use::Held) {
         metrics_.add("connections_broken_total");
         log_.log(now, "connection.broken",
@@ -188,18 +188,10 @@
 {
     PendingStatement &operation = *session.operation;
     const Service &service = serviceOf(operation.route->service);
-    const bool commits = operation.statement.kind == StatementType::Commit;
-    const bool wrote = commits ? session.transaction->wrote : (operation.writes && !session.transaction);
-    if (wrote && answer.position) {
-        const std::uint64_t generation
-            = connection.generation != 0 ? connection.generation : service.primary.generation;
-        session.floor = WriteFloor { *answer.position, generation };
-    }
-    if (commits) {
-        session.transaction.reset();
-    } else if (session.transaction) {
+    keepOutcome(
+        session, answer.position, connection.generation != 0 ? connection.generation : service.primary.generation);
+    if (session.transaction) {
         session.transaction->connection = connection.id;
-        session.transaction->wrote = session.transaction->wrote || operation.writes;
     }
     session.generation = connection.generation;
     metrics_.add(pool.record().id == service.primary.backend ? "answers_total{role=\"primary\"}"
@@ -211,6 +203,21 @@
     finish(now, session, std::move(reply));
 }
 
+void ProxyCore::keepOutcome(Session &session, const std::optional<LogPoint> &position, std::uint64_t generation)
+{
+    const PendingStatement &operation = *session.operation;
+    const bool commits = operation.statement.kind == StatementType::Commit;
+    const bool wrote = commits ? session.transaction->wrote : (operation.writes && !session.transaction);
+    if (wrote && position) {
+        session.floor = WriteFloor { *position, generation };
+    }
+    if (commits) {
+        session.transaction.reset();
+    } else if (session.transaction) {
+        session.transaction->wrote = session.transaction->wrote || operation.writes;
+    }
+}
+
 void ProxyCore::tryAgain(Instant now, Session &session, BackendPool &pool, AnswerCode code)
 {
     PendingStatement &operation = *session.operation;
@@ -242,9 +249,7 @@
         operation.tried.clear();
         operation.retryAt = now + timing_.busyBackoff * (1U << std::min(operation.attempts, 4U));
     }
-    Service &service = serviceOf(operation.route->service);
-    service.waiting.insert({ operation.route->priority, operation.arrivedAt, session.id });
-    service.waitingForPrimary += operation.needsPrimary ? 1 : 0;
+    wait(session);
 }
 
 void ProxyCore::fail(Instant now, Session &session, BackendAnswer &answer)
@@ -278,10 +283,8 @@
             { "after_ms", now - operation.sentAt } });
     // What a connection had begun is rolled back with it, so only what may have been committed is in doubt.
     if (again && operation.attempts < timing_.mostAttempts) {
-        Service &service = serviceOf(operation.route->service);
         operation.retryAt = now;
-        service.waiting.insert({ operation.route->priority, operation.arrivedAt, session.id });
-        service.waitingForPrimary += operation.needsPrimary ? 1 : 0;
+        wait(session);
         return;
     }
     CallerAnswer reply;
@@ -341,8 +344,8 @@
             { "database", std::string_view(session.database) },
             { "backend", std::string_view(operation.backend.value) }, { "took_ms", took },
             { "queued_ms", operation.offered ? operation.sentAt - operation.arrivedAt : took },
-            { "attempts", std::uint64_t { operation.attempts } }, { "config_version", configVersion_ },
-            { "topology_index", topologyIndex_ } });
+            { "attempts", std::uint64_t { operation.attempts } }, { "config_version", configuration_.version },
+            { "topology_index", topology_.index } });
 }
 
 } // namespace daisyrelay
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -20,14 +20,14 @@
 
 void ProxyCore::onSessionOpened(Instant now, SessionId id, const std::string &database)
 {
-    if (configVersion_ == 0) {
+    if (configuration_.version == 0) {
         // The configuration is a moment away after a start; a caller that is sent off comes back to another start.
         opening_.push_back({ id, database, now + timing_.openingHold });
         return;
     }
     if (!routes_.contains(database)) {
         log_.log(now, "session.rejected",
-            { { "database", std::string_view(database) }, { "config_version", configVersion_ } });
+            { { "database", std::string_view(database) }, { "config_version", configuration_.version } });
         metrics_.add("sessions_rejected_total");
         actions_.emplace_back(RejectCaller { id, AnswerCode::UnknownDatabase, database });
         return;
@@ -77,7 +77,7 @@
 
 bool ProxyCore::ready() const
 {
-    return configVersion_ > 0 && topologyIndex_ > 0 && !drainSince_ && !isolatedSince_
+    return configuration_.version > 0 && topology_.index > 0 && !drainSince_ && !isolatedSince_
         && (!homes_.empty()
             || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) { return entry.second.quota() > 0; }));
 }
@@ -101,8 +101,8 @@
 void ProxyCore::fill(Instant now, EntryReport &report) const
 {
     report.zone = zone_;
-    report.configVersion = configVersion_;
-    report.topologyIndex = topologyIndex_;
+    report.configVersion = configuration_.version;
+    report.topologyIndex = topology_.index;
     report.homesVersion = homesVersion_;
     report.leaving = drainSince_.has_value();
     for (const auto &[id, pool] : pools_) {
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -35,7 +35,7 @@
 void ProxyCore::checkOpening(Instant now)
 {
     for (const OpeningSession &opening : std::exchange(opening_, {})) {
-        if (configVersion_ > 0) {
+        if (configuration_.version > 0) {
             onSessionOpened(now, opening.id, opening.database);
         } else if (now < opening.until) {
             opening_.push_back(opening);
@@ -194,10 +194,7 @@
     }
     for (auto &[id, pool] : pools_) {
         if (pool.connections().empty() && pool.quota() > 0 && pool.mayOpen(now)) {
-            BackendConnection &connection = pool.open(now, nextConnection_++);
-            connections_[connection.id] = id;
-            metrics_.add("connections_opened_total");
-            actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout });
+            openConnection(now, pool);
         }
     }
     for (auto &[id, service] : services_) {
@@ -209,9 +206,7 @@
         const std::optional<Instant> newest = service.freshness.newest();
         const bool due = !newest || now - *newest >= timing_.sampleInterval;
         if ((due || !service.askers.empty()) && now - service.sampledAt >= timing_.sampleInterval / 2) {
-            const BackendPool *pool = poolOf(service.primary.backend);
-            const bool reached = pool != nullptr && pool->quota() > 0 && !pool->unreachable(now);
-            if (pool != nullptr && !reached && homes_.contains(service.primary.backend)) {
+            if (needsRelay(now, service)) {
                 askPosition(now, id, service);
             } else {
                 sample(now, service);
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -56,11 +56,11 @@
 {
     EntryUpdate update;
     update.sequence = report.sequence;
-    update.configVersion = configVersion_;
-    if (report.configVersion < configVersion_) {
+    update.configVersion = configuration_.version;
+    if (report.configVersion < configuration_.version) {
         update.configuration = configuration_;
     }
-    if (report.topologyIndex < topologyIndex_) {
+    if (report.topologyIndex < topology_.index) {
         update.topology = topology_;
     }
     return update;
@@ -81,15 +81,14 @@
 
 void ProxyCore::applyConfiguration(Instant now, const RouteConfiguration &configuration)
 {
-    if (configuration.version <= configVersion_) {
+    if (configuration.version <= configuration_.version) {
         return;
     }
     log_.log(now, "config.in-force",
-        { { "version", configuration.version }, { "before", configVersion_ },
+        { { "version", configuration.version }, { "before", configuration_.version },
             { "routes", std::uint64_t { configuration.routes.size() } } });
-    configVersion_ = configuration.version;
     configuration_ = configuration;
-    metrics_.set("config_version", static_cast<std::int64_t>(configVersion_));
+    metrics_.set("config_version", static_cast<std::int64_t>(configuration_.version));
     transactionIdle_ = configuration.transactionIdle;
     std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes;
     for (const DatabaseRoute &route : configuration.routes) {
@@ -101,10 +100,9 @@
 
 void ProxyCore::applyTopology(Instant now, const Topology &topology)
 {
-    if (topology.index <= topologyIndex_) {
+    if (topology.index <= topology_.index) {
         return;
     }
-    topologyIndex_ = topology.index;
     topology_ = topology;
     std::set<BackendId> present;
     for (const BackendRecord &record : topology.backends) {
--- a/lib/runtime/bytestream.cpp
+++ b/lib/runtime/bytestream.cpp
@@ -111,21 +111,9 @@
         fail(error);
         return;
     }
-    const std::shared_ptr<ByteStream> self = shared_from_this();
-    if (!hooks_.onBytes) {
-        return;
-    }
-    if (unused_.empty()) {
-        const std::string_view bytes(shared.data(), got);
-        // What the hook leaves is copied before anything else can read into the shared buffer.
-        unused_.assign(bytes);
-        const std::size_t used = hooks_.onBytes(unused_);
-        unused_.erase(0, used);
-    } else {
-        unused_.append(shared.data(), got);
-        const std::size_t used = hooks_.onBytes(unused_);
-        unused_.erase(0, used);
-    }
+    // Copied before anything else can read into the shared buffer.
+    unused_.append(shared.data(), got);
+    retryBytes();
     waitForBytes();
 }
 
--- a/lib/runtime/callerlinks.cpp
+++ b/lib/runtime/callerlinks.cpp
@@ -182,9 +182,4 @@
     hooks_.onClosed(session);
 }
 
-std::size_t CallerLinks::size() const
-{
-    return links_.size();
-}
-
 } // namespace daisyrelay
--- a/lib/runtime/callerlinks.h
+++ b/lib/runtime/callerlinks.h
@@ -29,8 +29,6 @@
     void answer(SessionId session, const CallerAnswer &answer);
     void close(SessionId session);
 
-    [[nodiscard]] std::size_t size() const;
-
 private:
     struct Link {
         std::shared_ptr<ByteStream> stream;
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -82,6 +82,7 @@
     if (Expected<void> listening = health_->listen(context_.settings.health); !listening) {
         return listening;
     }
+    settingsReadAt_ = Clock::now();
     scheduleTick();
     return {};
 }
--- a/lib/supervision/primarywatch.cpp
+++ b/lib/supervision/primarywatch.cpp
@@ -207,17 +207,15 @@
     const BackendRecord *best = nullptr;
     const auto rank = [this](const BackendRecord &backend) {
         const ProbeOutcome &answer = answers_.at(backend.id);
-        return std::pair(answer.received, !backend.draining);
+        return std::pair(!backend.draining, answer.received);
     };
     for (const auto &[id, answer] : answers_) {
         const BackendRecord *backend = context.state.find(id);
         if (backend == nullptr || answer.result != ProbeResult::Answered) {
             continue;
         }
-        // A planned change waits for none, so a backend server that leaves too is no choice.
-        const bool better = best == nullptr
-            || (backend->draining != best->draining ? !backend->draining : rank(*backend) > rank(*best));
-        best = better ? backend : best;
+        // One that leaves too would have to be replaced again.
+        best = best == nullptr || rank(*backend) > rank(*best) ? backend : best;
     }
     const bool allAnswered = std::all_of(asked_.begin(), asked_.end(), [this](const BackendId &id) {
         const auto found = answers_.find(id);
--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -137,6 +137,11 @@
     return found == configuration_.services.end() ? nullptr : &*found;
 }
 
+std::uint64_t SupervisionState::topologyIndex() const
+{
+    return topologyIndex_;
+}
+
 Topology SupervisionState::topology() const
 {
     Topology topology;
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -15,7 +15,6 @@
     if (leading == leading_ && (!leading || term == term_)) {
         return;
     }
-    const bool sameTerm = term == term_;
     leading_ = leading;
     term_ = term;
     log_.log(now, leading ? "control.leads" : "control.yields",
@@ -25,9 +24,6 @@
         return;
     }
     metrics_.add("leaderships_total");
-    if (!sameTerm) {
-        leadsSince_ = now;
-    }
     // Whoever led in between may have granted and promoted, so nothing of before counts.
     entries_.reset(now);
     heardAt_.clear();
@@ -210,11 +206,11 @@
         session.configSent = update.configVersion;
         session.configSentAt = now;
     }
-    const Topology topology = state_.topology();
+    const std::uint64_t topologyIndex = state_.topologyIndex();
     const bool resendTopology = now - session.topologySentAt > timing_.pushRetry;
-    if (session.report.topologyIndex < topology.index && (resendTopology || session.topologySent < topology.index)) {
-        update.topology = topology;
-        session.topologySent = topology.index;
+    if (session.report.topologyIndex < topologyIndex && (resendTopology || session.topologySent < topologyIndex)) {
+        update.topology = state_.topology();
+        session.topologySent = topologyIndex;
         session.topologySentAt = now;
     }
     if (always) {
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -112,7 +112,6 @@
     std::uint64_t nextNumber_ = 1;
     std::uint64_t topologyIndex_ = 1;
     std::vector<Due> due_;
-    std::map<std::string, std::uint64_t> ackedNumber_;
 };
 
 } // namespace daisyrelay
