Let a voter that never stored the founding vouch for the others

Change: an answer of an empty VM counts if the membership has its incarnation, since a lost disk takes a new one.

--- a/include/daisyrelay/consensus/raftcore.h
+++ b/include/daisyrelay/consensus/raftcore.h
@@ -117,6 +117,7 @@
     void onHello(Instant now, const RaftMessage &message);
     void onHelloAnswer(Instant now, const RaftMessage &message);
     void countVouchers(Instant now);
+    [[nodiscard]] bool mayVouch(const RaftMessage &answer) const;
     void takeNewIncarnation(Instant now);
     void startGenesis(Instant now);
     void onMembershipChanged();
--- a/lib/consensus/rejoin.cpp
+++ b/lib/consensus/rejoin.cpp
@@ -94,15 +94,24 @@
     if (options_.openMembership && !log_.membership().members.empty()) {
         others = log_.membership().members.size() - (memberOf(options_.self) != nullptr ? 1 : 0);
     }
-    const auto answered = static_cast<std::size_t>(
-        std::count_if(helloAnswers_.begin(), helloAnswers_.end(), [this](const auto &answer) {
-            return answer.second.standing != RaftStanding::Empty
-                && (!options_.openMembership || log_.membership().members.empty() || memberOf(answer.first) != nullptr);
-        }));
+    const auto answered = static_cast<std::size_t>(std::count_if(
+        helloAnswers_.begin(), helloAnswers_.end(), [this](const auto &answer) { return mayVouch(answer.second); }));
     const bool waited = now - startedAt_ >= options_.electionTimeout;
     vouched_ = vouched_ || answered >= (waited ? (others + 1) / 2 : others);
 }
 
+// A VM that holds nothing knows of no promise, unless it is a voter that has not stored the founding yet: its incarnation
+// shows that its disk is the one with which it was made a voter.
+bool RaftCore::mayVouch(const RaftMessage &answer) const
+{
+    const Member *member = memberOf(answer.from);
+    if (options_.openMembership && member == nullptr && !log_.membership().members.empty()) {
+        return false;
+    }
+    const bool sameDisk = member != nullptr && member->incarnation == answer.incarnation;
+    return answer.standing != RaftStanding::Empty || sameDisk;
+}
+
 // What is stored stays: as a learner's log it is as good as any, only the promises that went with it are not known.
 void RaftCore::takeNewIncarnation(Instant now)
 {
--- a/unittests/consensus/rafttrapstest.cpp
+++ b/unittests/consensus/rafttrapstest.cpp
@@ -24,6 +24,29 @@
     CHECK(cluster.runUntil([&]() { return cluster.applied(at, command); }));
 }
 
+// A voter whose disk was full at the founding has stored its incarnation but no membership. Then another VM loses its
+// disk, and the last one restarts: two of three disks hold what they promised, so a leader must be found.
+TEST(RaftTraps, AVoterThatNeverStoredTheFoundingHelpsToElectALeader)
+{
+    FakeCluster cluster(3);
+    cluster.run(cluster.step);
+    cluster.vms[2].disk->full = true;
+    CHECK(cluster.runUntil([&]() { return cluster.leader().has_value(); }));
+    const std::size_t keeper = *cluster.leader();
+    proposeAndWait(cluster, keeper, "accepted");
+    cluster.crash(2);
+    cluster.vms[2].disk->full = false;
+    cluster.cuts = { { keeper, 1 - keeper } };
+    cluster.wipe(1 - keeper);
+    cluster.run(2s);
+    cluster.cuts.clear();
+    cluster.restart(keeper);
+    cluster.start(2);
+    CHECK(cluster.vms[2].core->log().membership().members.empty());
+    CHECK(cluster.applied(settle(cluster), "accepted"));
+    checkPromises(cluster);
+}
+
 // Commits an entry on the leader and one other VM only. The third must not lead with the other's vote.
 struct EntryOnTwoOfThree {
     FakeCluster cluster { 3 };
