Leave alone replicas that are known to be far behind

Ruled out: a cut or a failover (primary answered 0 ms before), a lack of positions (70 to 250 ms old). Change: an answer tells where a replica's log stands; after a refusal it is asked only for what it has, and for more only after a pause that doubles from 150 ms to 1.2 s until it has run something.

--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -77,12 +77,18 @@
     /// Whether one more statement is likely to find room there.
     [[nodiscard]] bool hasRoom() const;
 
-    /// It refused a read since its log was too far behind.
+    /// Its log was seen at \p point.
+    void noteApplied(const LogPoint &point);
+
+    /// It refused a read since its log was too far behind. Until it has run one, each time it is left alone for longer.
     void noteLag(Instant now);
 
     /// Whether it did so a moment ago.
     [[nodiscard]] bool lags(Instant now) const;
 
+    /// Whether a read that needs \p point is expected to be refused there.
+    [[nodiscard]] bool lagsBehind(Instant now, const LogPoint &point) const;
+
     /// Returns idle connections above the quota.
     [[nodiscard]] std::vector<ConnectionId> surplus() const;
 
@@ -134,7 +140,9 @@
     double usualTime_ = 0; ///< Of an answer without a queue, in ticks; rises slowly.
     double recentTime_ = 0; ///< The same, over the last few answers.
     Instant fullAt_ {};
-    Instant laggedAt_ {};
+    LogPoint applied_; ///< Where its log was seen last.
+    Instant lagUntil_ {};
+    Duration lagPause_ {}; ///< Grows while it refuses reads one after the other.
     Instant drainingSince_ {}; ///< When this VM heard of it.
     std::optional<Instant> lastAnswer_;
     std::size_t peak_ = 0;
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -135,8 +135,8 @@
     Placement place(Instant now, Session &session, Service &service);
     Placement placeAtPrimary(Instant now, Session &session, Service &service);
     Placement placeRead(Instant now, Session &session, Service &service, const LogPoint &since);
-    BackendPool *cheapest(
-        Instant now, const PendingStatement &operation, const Service &service, bool idleOnly, bool guest);
+    BackendPool *cheapest(Instant now, const PendingStatement &operation, const Service &service,
+        const LogPoint &since, bool idleOnly, bool guest);
     [[nodiscard]] std::optional<LogPoint> positionFor(
         const Session &session, const PendingStatement &operation, const Service &service) const;
     void openConnection(Instant now, BackendPool &pool);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -30,7 +30,9 @@
     double crowdedFactor = 2.5; ///< A server whose answers take so much longer than usual has too much under way.
     double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
     double longestHold = 0.3; ///< The same, as a part of the statement's timeout.
-    Duration lagMemory = std::chrono::milliseconds(150); ///< A replica that lagged is asked last for so long.
+    Duration lagMemory = std::chrono::milliseconds(150); ///< A replica that lagged is not asked for what it lacked for
+                                                         ///< so long: a few times the usual delay of replication,
+    Duration longestLagMemory = std::chrono::milliseconds(1200); ///< doubled up to this, below the usual staleness.
     Duration unneededAfter = std::chrono::seconds(3); ///< Idle connections above one are closed then: those of a VM
                                                       ///< that loses its power stand in the way of its next start.
     Duration drainUse = std::chrono::milliseconds(3000); ///< A server that leaves gets work for so long at most, if no
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -118,6 +118,7 @@
         serviceTime_.add(now - sentAt);
         adaptWindow(now, now - sentAt);
         errors_ = 0;
+        lagPause_ = {};
     }
 }
 
@@ -171,14 +172,28 @@
     return static_cast<double>(busy()) < window_;
 }
 
+void BackendPool::noteApplied(const LogPoint &point)
+{
+    applied_ = point;
+}
+
 void BackendPool::noteLag(Instant now)
 {
-    laggedAt_ = now;
+    if (now < lagUntil_) {
+        return; // Answers to what was sent before.
+    }
+    lagPause_ = std::clamp(2 * lagPause_, timing_.lagMemory, timing_.longestLagMemory);
+    lagUntil_ = now + lagPause_;
 }
 
 bool BackendPool::lags(Instant now) const
 {
-    return now - laggedAt_ < timing_.lagMemory;
+    return now < lagUntil_;
+}
+
+bool BackendPool::lagsBehind(Instant now, const LogPoint &point) const
+{
+    return lags(now) && applied_ < point;
 }
 
 std::optional<ConnectionId> BackendPool::unneeded(Instant now) const
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -134,15 +134,15 @@
     return Placement::Waits;
 }
 
-BackendPool *ProxyCore::cheapest(
-    Instant now, const PendingStatement &operation, const Service &service, bool idleOnly, bool guest)
+BackendPool *ProxyCore::cheapest(Instant now, const PendingStatement &operation, const Service &service,
+    const LogPoint &since, bool idleOnly, bool guest)
 {
     BackendPool *best = nullptr;
     Duration bestCost {};
     bool bestDrains = false;
     for (auto &[id, pool] : pools_) {
         if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
-            || pool.suspect(now) || (idleOnly && !pool.hasRoom())
+            || pool.suspect(now) || pool.lagsBehind(now, since) || (idleOnly && !pool.hasRoom())
             || (guest && pool.record().draining && id != service.primary.backend)
             || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
             continue;
@@ -151,9 +151,6 @@
         if (id == service.primary.backend) {
             cost += pool.meanTime(); // Its slots are wanted by what runs nowhere else.
         }
-        if (pool.lags(now)) {
-            cost += timing_.suspicion;
-        }
         const bool drains = pool.record().draining;
         if (best == nullptr || (bestDrains && !drains) || (bestDrains == drains && cost < bestCost)) {
             best = &pool;
@@ -166,7 +163,7 @@
 
 ProxyCore::Placement ProxyCore::placeRead(Instant now, Session &session, Service &service, const LogPoint &since)
 {
-    BackendPool *wanted = cheapest(now, *session.operation, service, false, session.guest.has_value());
+    BackendPool *wanted = cheapest(now, *session.operation, service, since, false, session.guest.has_value());
     if (wanted == nullptr) {
         if (!session.operation->tried.empty()) {
             session.operation->tried.clear();
@@ -180,7 +177,7 @@
     }
     BackendPool *chosen = wanted->idle() > 0 && wanted->hasRoom()
         ? wanted
-        : cheapest(now, *session.operation, service, true, session.guest.has_value());
+        : cheapest(now, *session.operation, service, since, true, session.guest.has_value());
     if (chosen != wanted && wanted->hasRoom()) {
         openFor(now, *wanted, service.waiting.size() - service.waitingForPrimary);
     }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -87,6 +87,9 @@
     pool.answered(now, connection.since,
         statement && !connection.beginning && answers[connection.payload].code == AnswerCode::Ok);
     const TransactionState state = answers.back().state;
+    if (answers.back().position) {
+        pool.noteApplied(*answers.back().position);
+    }
     if (statement) {
         onPayload(now, pool, connection, answers);
         return;
--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -208,6 +208,7 @@
     const bool works = statement.kind == StatementType::Read || statement.kind == StatementType::Write
         || statement.kind == StatementType::Execute || statement.kind == StatementType::Commit;
     if (statement.since && server.applied < *statement.since) {
+        ++server.lagged;
         refuse(connection, answer, AnswerCode::Lagging);
         return answer;
     }
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -27,6 +27,7 @@
         bool busy = false; ///< Refuses to run anything.
         bool losesAnswers = false; ///< Breaks the connection instead of answering what it ran.
         std::uint64_t run = 0; ///< Statements with an id.
+        std::uint64_t lagged = 0; ///< Statements refused since the log was behind.
     };
 
     struct Connection {
--- a/unittests/proxy/overloadtest.cpp
+++ b/unittests/proxy/overloadtest.cpp
@@ -68,3 +68,44 @@
     CHECK(late < inTime / 10);
     CHECK(refused > 0);
 }
+
+TEST(Overload, ReplicasThatAreFarBehindAreNotAskedAgainAndAgain)
+{
+    FakeService behind { 3 };
+    behind.configure(ReadGuarantee::BoundedStaleness, 1000ms);
+    behind.announce(1);
+    behind.lag = 10s;
+    const SessionId writer = behind.open("w");
+    std::vector<SessionId> readers;
+    for (int at = 0; at < 60; ++at) {
+        readers.push_back(behind.open("r" + std::to_string(at)));
+    }
+    // The primary can run a read in 7 ms; they come every 4 ms.
+    std::set<SessionId> waiting;
+    int served = 0;
+    for (int millisecond = 0; millisecond < 6000; millisecond += 4) {
+        if (millisecond % 200 == 0 && behind.callers[writer].answers.empty()) {
+            behind.send(writer, StatementType::Write, "x");
+        }
+        const SessionId reader = readers[static_cast<std::size_t>(millisecond / 4) % readers.size()];
+        if (waiting.insert(reader).second) {
+            behind.send(reader, StatementType::Read, "x");
+        }
+        behind.run(4ms);
+        behind.callers[writer].answers.clear();
+        for (const SessionId one : readers) {
+            std::deque<CallerAnswer> &answers = behind.callers[one].answers;
+            if (!answers.empty()) {
+                served += answers.front().code == AnswerCode::Ok ? 1 : 0;
+                answers.clear();
+                waiting.erase(one);
+            }
+        }
+    }
+    const std::uint64_t lagged = behind.servers["b1"].lagged + behind.servers["b2"].lagged;
+    CHECK(served > 600);
+    // Each is asked now and then whether it has caught up.
+    CHECK(lagged > 4);
+    CHECK(lagged < 40);
+    CHECK_EQUAL(std::string(), behind.violation);
+}
