Label positions in the fake service by the term of their write

Traced: the fake "promoted" the server that led already, which the platform answers without any change, and labelled what replicas had applied with the newest term instead of that of the write, so that a replica at 3.2 counted as ahead of 2.3. Ruled out: the proxy (its request carried the right position). Change: a promotion of the present primary changes nothing, a position has the term of its write. The check is as it was.

--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -283,7 +283,7 @@
             refuse(connection, answer, AnswerCode::NotPrimary);
             return;
         }
-        connection.pending.push_back({ statement.id, statement.text, statement.id, 0 });
+        connection.pending.push_back({ statement.id, statement.text, statement.id, 0, 0 });
         if (!connection.inTransaction) {
             commit(connection, statement.id);
             answer.position = server.applied;
@@ -321,6 +321,7 @@
     Server &server = servers[connection.server];
     for (Write &write : connection.pending) {
         write.number = nextNumber_++;
+        write.term = term;
         committed.push_back(write);
         if (++commitsOf[write.id] > 1) {
             violation = write.id + " took effect twice, the second time for " + id;
@@ -341,7 +342,7 @@
             const auto at = std::find_if(
                 history_.begin(), history_.end(), [&](const auto &entry) { return entry.second == write.number; });
             if (write.number > server.applied.position && at != history_.end() && at->first + lag <= now) {
-                server.applied = { term, write.number };
+                server.applied = { write.term, write.number };
             }
         }
     }
@@ -349,6 +350,9 @@
 
 void FakeService::promote(const std::string &server)
 {
+    if (server == primary) {
+        return;
+    }
     primary = server;
     ++term;
     const std::uint64_t kept = servers[server].applied.position;
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -19,6 +19,7 @@
         std::string item;
         std::string data;
         std::uint64_t number = 0; ///< In the order in which the service committed.
+        Term term = 0; ///< In which it did.
     };
 
     struct Server {
@@ -80,7 +81,7 @@
     /// Lets time pass; replicas apply what is older than \p lag.
     void run(Duration duration);
 
-    /// Makes another server lead; what it has not applied is gone.
+    /// Makes another server lead; what it has not applied is gone. For the one that leads nothing changes.
     void promote(const std::string &server);
 
     /// Returns the next answer of a caller, running until it has come.
