Pace what each entry offers to a full server, and judge refusals by time

Cause: with replicas behind, a primary with 3 slots and a queue of 24 gets the reads of 65 entries. Change: AdaptiveWindow (lib/limits) falls below one, where it is a pause between two statements; refusals do not use up attempts; what can not be sent within its hold is refused on arrival, with the predicted wait as the time to come back; a home whose only server lags sends guests elsewhere at once.

--- a/include/daisyrelay/limits.h
+++ b/include/daisyrelay/limits.h
@@ -1,6 +1,7 @@
 // Public header of the limits library: scarce connections, queues and admission.
 #pragma once
 
+#include "daisyrelay/limits/adaptivewindow.h"
 #include "daisyrelay/limits/backoff.h"
 #include "daisyrelay/limits/circuitbreaker.h"
 #include "daisyrelay/limits/classqueues.h"
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -74,8 +74,14 @@
     /// It had no room for a statement.
     void noteFull(Instant now);
 
+    /// A statement that waited here was sent.
+    void noteStarted(Instant now);
+
     /// Whether one more statement is likely to find room there.
-    [[nodiscard]] bool hasRoom() const;
+    [[nodiscard]] bool hasRoom(Instant now) const;
+
+    /// Returns how long \p ahead statements take that wait here.
+    [[nodiscard]] Duration waitFor(Instant now, std::size_t ahead) const;
 
     /// Its log was seen at \p point.
     void noteApplied(const LogPoint &point);
@@ -122,10 +128,7 @@
     [[nodiscard]] std::uint32_t wanted(Instant now) const;
 
 private:
-    static constexpr double LargestWindow = 64;
-
     [[nodiscard]] std::size_t busy() const;
-    void adaptWindow(Instant now, Duration took);
 
     BackendRecord record_;
     const ProxyTiming &timing_;
@@ -136,10 +139,7 @@
     std::uint32_t errors_ = 0; ///< Statements that failed, in a row.
     Instant retryAt_ {};
     Instant avoidUntil_ {};
-    double window_ = LargestWindow; ///< Statements under way at once; halved by refusals, raised by answers.
-    double usualTime_ = 0; ///< Of an answer without a queue, in ticks; rises slowly.
-    double recentTime_ = 0; ///< The same, over the last few answers.
-    Instant fullAt_ {};
+    AdaptiveWindow window_; ///< Keeps the queue in the server short: what waits here can still be put in order.
     LogPoint applied_; ///< Where its log was seen last.
     Instant lagUntil_ {};
     Duration lagPause_ {}; ///< Grows while it refuses reads one after the other.
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -135,8 +135,12 @@
     Placement place(Instant now, Session &session, Service &service);
     Placement placeAtPrimary(Instant now, Session &session, Service &service);
     Placement placeRead(Instant now, Session &session, Service &service, const LogPoint &since);
-    BackendPool *cheapest(Instant now, const PendingStatement &operation, const Service &service,
-        const LogPoint &since, bool idleOnly, bool guest);
+    Placement refuseIfHopeless(Instant now, Session &session, Duration predicted);
+    [[nodiscard]] std::size_t aheadOf(const Session &session, const Service &service, bool atPrimaryOnly) const;
+    [[nodiscard]] Duration predictedReadWait(
+        Instant now, const Session &session, const Service &service, const LogPoint &since) const;
+    BackendPool *cheapest(Instant now, const PendingStatement &operation, const Service &service, const LogPoint &since,
+        bool idleOnly, bool guest);
     [[nodiscard]] std::optional<LogPoint> positionFor(
         const Session &session, const PendingStatement &operation, const Service &service) const;
     void openConnection(Instant now, BackendPool &pool);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -27,7 +27,6 @@
     Duration knownOutage
         = std::chrono::milliseconds(1500); ///< A failover is over by then; nobody waits for longer ones.
     double inTimePart = 0.7; ///< Of its target: a statement that has waited longer gives way to those that have not.
-    double crowdedFactor = 2.5; ///< A server whose answers take so much longer than usual has too much under way.
     double holdTargets = 1; ///< How long a statement may wait to be sent, in latency targets of its route.
     double longestHold = 0.3; ///< The same, as a part of the statement's timeout.
     Duration lagMemory = std::chrono::milliseconds(150); ///< A replica that lagged is not asked for what it lacked for
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -54,7 +54,8 @@
     Instant holdUntil {}; ///< Waits without being offered until then.
     Instant retryAt {};
     Instant sentAt {};
-    std::uint32_t attempts = 0;
+    std::uint32_t attempts = 0; ///< How often it was sent.
+    std::uint32_t refusals = 0; ///< How often of these it was refused without being run.
     bool offered = false; ///< Whether it was ever sent.
     ConnectionId connection = 0; ///< While it runs.
     VmId home; ///< The entry on which it runs, if not here.
@@ -62,6 +63,12 @@
     BackendId backend; ///< The server that it was sent to last, directly or through that entry.
     std::set<BackendId> tried; ///< Servers that lag too far for it, or failed it.
     AnswerCode lastRefusal = AnswerCode::Busy;
+
+    /// Returns how often it was sent and not refused.
+    [[nodiscard]] std::uint32_t tries() const
+    {
+        return attempts - refusals;
+    }
 };
 
 /// Where the session of a guest lives.
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -116,7 +116,7 @@
     lastAnswer_ = now;
     if (ran) {
         serviceTime_.add(now - sentAt);
-        adaptWindow(now, now - sentAt);
+        window_.ran(now, now - sentAt, busy());
         errors_ = 0;
         lagPause_ = {};
     }
@@ -138,38 +138,24 @@
         [](const auto &entry) { return entry.second.use == BackendConnection::Use::Busy; }));
 }
 
-// Several entries share the queue of a server without knowing of each other; each finds its part by what is refused.
 void BackendPool::noteFull(Instant now)
 {
-    constexpr Duration Settle = std::chrono::milliseconds(20); // One overflow refuses several statements.
-    constexpr double Shrink = 0.7;
-    if (now - fullAt_ < Settle) {
-        return;
-    }
-    fullAt_ = now;
-    window_ = std::max(1.0, std::min(window_, static_cast<double>(busy())) * Shrink);
-}
-
-// Keeps the queue in the server short: what waits here instead can still be put in order, or be refused in time.
-void BackendPool::adaptWindow(Instant now, Duration took)
-{
-    constexpr double RecentShare = 0.2;
-    constexpr double UsualRise = 0.002;
-    constexpr double UsualFall = 0.05;
-    const auto ticks = static_cast<double>(took.count());
-    recentTime_ = recentTime_ == 0 ? ticks : recentTime_ + RecentShare * (ticks - recentTime_);
-    const double step = recentTime_ > usualTime_ ? UsualRise : UsualFall;
-    usualTime_ = usualTime_ == 0 ? ticks : usualTime_ + step * (recentTime_ - usualTime_);
-    if (recentTime_ > timing_.crowdedFactor * usualTime_) {
-        noteFull(now);
-    } else {
-        window_ = std::min(LargestWindow, window_ + 1.0 / std::max(window_, 1.0));
-    }
+    window_.refused(now, busy());
+}
+
+void BackendPool::noteStarted(Instant now)
+{
+    window_.started(now);
+}
+
+bool BackendPool::hasRoom(Instant now) const
+{
+    return window_.admits(now, busy());
 }
 
-bool BackendPool::hasRoom() const
+Duration BackendPool::waitFor(Instant now, std::size_t ahead) const
 {
-    return static_cast<double>(busy()) < window_;
+    return window_.waitFor(now, ahead, quota_, meanTime());
 }
 
 void BackendPool::noteApplied(const LogPoint &point)
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -117,21 +117,49 @@
         refuse(now, session, AnswerCode::Busy, "no-primary", ComeBack);
         return Placement::Refused;
     }
-    if (BackendConnection *connection = pool->hasRoom() ? pool->pickIdle(session.values) : nullptr;
+    if (BackendConnection *connection = pool->hasRoom(now) ? pool->pickIdle(session.values) : nullptr;
         connection != nullptr) {
         send(now, session, *pool, *connection, std::nullopt);
         return Placement::Started;
     }
-    if (pool->hasRoom()) {
+    if (pool->hasRoom(now)) {
         openFor(now, *pool, service.waitingForPrimary);
     }
-    const auto lanes = static_cast<std::int64_t>(std::max<std::uint32_t>(pool->quota(), 1));
-    const Duration predicted = pool->meanTime() * static_cast<std::int64_t>(service.waitingForPrimary) / lanes;
-    if (session.operation->arrivedAt == now && now + predicted > session.operation->holdUntil) {
-        refuse(now, session, AnswerCode::Busy, "queue-too-long", predicted);
-        return Placement::Refused;
+    return refuseIfHopeless(now, session, pool->waitFor(now, aheadOf(session, service, true) + 1));
+}
+
+// A caller that is told at once can come back while its own time lasts.
+ProxyCore::Placement ProxyCore::refuseIfHopeless(Instant now, Session &session, Duration predicted)
+{
+    if (session.operation->arrivedAt != now || now + predicted <= session.operation->holdUntil) {
+        return Placement::Waits;
     }
-    return Placement::Waits;
+    refuse(now, session, AnswerCode::Busy, "queue-too-long", predicted);
+    return Placement::Refused;
+}
+
+std::size_t ProxyCore::aheadOf(const Session &session, const Service &service, bool atPrimaryOnly) const
+{
+    const PendingStatement &operation = *session.operation;
+    const auto own = service.waiting.find({ operation.route->priority, operation.arrivedAt, session.id });
+    return static_cast<std::size_t>(std::count_if(service.waiting.begin(), own, [&](const auto &key) {
+        return !atPrimaryOnly || sessions_.at(std::get<SessionId>(key)).operation->needsPrimary;
+    }));
+}
+
+// Servers of the service that may run a read share what waits for them.
+Duration ProxyCore::predictedReadWait(
+    Instant now, const Session &session, const Service &service, const LogPoint &since) const
+{
+    double perTick = 0;
+    for (const auto &[id, pool] : pools_) {
+        if (pool.record().service == session.operation->route->service && pool.usable(now) && !pool.suspect(now)
+            && !pool.lagsBehind(now, since) && pool.quota() > 0) {
+            perTick += 1 / std::max(1.0, static_cast<double>(pool.waitFor(now, 1).count()));
+        }
+    }
+    const auto before = static_cast<double>(aheadOf(session, service, false) + 1);
+    return perTick > 0 ? Duration(static_cast<Duration::rep>(before / perTick)) : Duration::zero();
 }
 
 BackendPool *ProxyCore::cheapest(Instant now, const PendingStatement &operation, const Service &service,
@@ -142,7 +170,7 @@
     bool bestDrains = false;
     for (auto &[id, pool] : pools_) {
         if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
-            || pool.suspect(now) || pool.lagsBehind(now, since) || (idleOnly && !pool.hasRoom())
+            || pool.suspect(now) || pool.lagsBehind(now, since) || (idleOnly && !pool.hasRoom(now))
             || (guest && pool.record().draining && id != service.primary.backend)
             || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
             continue;
@@ -164,6 +192,14 @@
 ProxyCore::Placement ProxyCore::placeRead(Instant now, Session &session, Service &service, const LogPoint &since)
 {
     BackendPool *wanted = cheapest(now, *session.operation, service, since, false, session.guest.has_value());
+    if (wanted == nullptr && session.guest) {
+        // The entry that sent it knows other servers.
+        refuse(now, session, AnswerCode::Lagging, "try-elsewhere", Duration::zero());
+        return Placement::Refused;
+    }
+    if (wanted == nullptr && !homes_.empty()) {
+        return placeRemotely(now, session, service, false);
+    }
     if (wanted == nullptr) {
         if (!session.operation->tried.empty()) {
             session.operation->tried.clear();
@@ -175,14 +211,14 @@
         }
         return Placement::Waits;
     }
-    BackendPool *chosen = wanted->idle() > 0 && wanted->hasRoom()
+    BackendPool *chosen = wanted->idle() > 0 && wanted->hasRoom(now)
         ? wanted
         : cheapest(now, *session.operation, service, since, true, session.guest.has_value());
-    if (chosen != wanted && wanted->hasRoom()) {
+    if (chosen != wanted && wanted->hasRoom(now)) {
         openFor(now, *wanted, service.waiting.size() - service.waitingForPrimary);
     }
     if (chosen == nullptr) {
-        return Placement::Waits;
+        return refuseIfHopeless(now, session, predictedReadWait(now, session, service, since));
     }
     send(now, session, *chosen, *chosen->pickIdle(session.values), since);
     return Placement::Started;
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -97,6 +97,9 @@
     operation.sentAt = now;
     operation.offered = true;
     ++operation.attempts;
+    if (operation.role != PendingStatement::Role::Next) {
+        pool.noteStarted(now);
+    }
     start(now, connection, std::move(exchange));
 }
 
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -153,13 +153,13 @@
 {
     PendingStatement &operation = *session.operation;
     const bool read = !operation.writes && operation.role == PendingStatement::Role::Single;
-    const Duration patience = std::max<Duration>(operation.route->target, timing_.suspicion) * operation.attempts;
+    const Duration patience = std::max<Duration>(operation.route->target, timing_.suspicion) * operation.tries();
     const bool late = now >= operation.deadline;
     if (!late && !(read && now - operation.sentAt > patience)) {
         return;
     }
     homeStates_[operation.home].avoidUntil = now + AvoidFor;
-    operation.attempts = late ? timing_.mostAttempts : operation.attempts;
+    operation.attempts = late ? timing_.mostAttempts + operation.refusals : operation.attempts;
     loseAnswer(now, session, late ? "timed-out" : "home-silent");
 }
 
@@ -182,11 +182,13 @@
     const bool promised = reply.answer.code == AnswerCode::Busy || reply.answer.code == AnswerCode::WrongBackend
         || reply.answer.code == AnswerCode::Lagging || reply.answer.code == AnswerCode::NotPrimary
         || reply.answer.code == AnswerCode::Aborted;
-    if (promised && operation.role != PendingStatement::Role::Next && operation.attempts < timing_.mostAttempts
+    if (promised && operation.role != PendingStatement::Role::Next && operation.tries() <= timing_.mostAttempts
         && now < operation.holdUntil) {
+        ++operation.refusals;
         const bool wrongHome = reply.answer.code == AnswerCode::WrongBackend;
         operation.lastRefusal = wrongHome ? AnswerCode::Busy : reply.answer.code;
-        operation.retryAt = operation.needsPrimary && !wrongHome ? now + timing_.busyBackoff : now;
+        const bool again = operation.refusals > 2; // Two other servers have been asked already.
+        operation.retryAt = (operation.needsPrimary && !wrongHome) || again ? now + timing_.busyBackoff : now;
         if (wrongHome) {
             state.avoidUntil = now + AvoidFor;
         } else if (!operation.needsPrimary) {
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -227,9 +227,9 @@
     operation.connection = 0;
     operation.lastRefusal = code == AnswerCode::UnknownStatement ? AnswerCode::Busy : code;
     metrics_.add(std::string("retries_total{code=\"") + std::string(answerCodeName(code)) + "\"}");
-    if (code == AnswerCode::NotPrimary) {
-        // Control is about to name another one; only the time that is left counts.
-        --operation.attempts;
+    if (code != AnswerCode::Aborted && code != AnswerCode::UnknownStatement) {
+        // It did not run and costs little; only the time that is left counts.
+        ++operation.refusals;
     }
     if (code == AnswerCode::Lagging) {
         pool.noteLag(now);
@@ -241,7 +241,7 @@
         refuse(now, session, operation.lastRefusal, "try-elsewhere", Duration::zero());
         return;
     }
-    if (operation.attempts >= timing_.mostAttempts || now + timing_.busyBackoff >= operation.deadline) {
+    if (operation.tries() >= timing_.mostAttempts || now + timing_.busyBackoff >= operation.deadline) {
         refuse(now, session, operation.lastRefusal, "attempts-used", timing_.longestBackoff / 4);
         return;
     }
@@ -250,7 +250,7 @@
     }
     if (operation.needsPrimary) {
         operation.tried.clear();
-        operation.retryAt = now + timing_.busyBackoff * (1U << std::min(operation.attempts, 4U));
+        operation.retryAt = now + timing_.busyBackoff * (1U << std::min(operation.refusals, 2U));
     }
     wait(session);
 }
@@ -285,7 +285,7 @@
             { "backend", std::string_view(operation.backend.value) }, { "in_doubt", unknown }, { "again", again },
             { "after_ms", now - operation.sentAt } });
     // What a connection had begun is rolled back with it, so only what may have been committed is in doubt.
-    if (again && operation.attempts < timing_.mostAttempts) {
+    if (again && operation.tries() < timing_.mostAttempts) {
         operation.retryAt = now;
         wait(session);
         return;
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -88,7 +88,7 @@
         tryAgain(now, session, pool, AnswerCode::Busy);
     } else if (late || silent) {
         connection.session = 0;
-        operation.attempts = late ? timing_.mostAttempts : operation.attempts;
+        operation.attempts = late ? timing_.mostAttempts + operation.refusals : operation.attempts;
         loseAnswer(now, session, late ? "timed-out" : "server-silent");
     } else {
         hedge(now, session);
@@ -102,12 +102,12 @@
     PendingStatement &operation = *session.operation;
     const auto at = connections_.find(operation.connection);
     if (at == connections_.end() || operation.writes || operation.role != PendingStatement::Role::Single
-        || operation.attempts >= timing_.mostAttempts) {
+        || operation.tries() >= timing_.mostAttempts) {
         return;
     }
     BackendPool &pool = *poolOf(at->second);
     constexpr int UsualTimes = 5;
-    const Duration patience = std::max(timing_.shortestHedge, pool.meanTime() * UsualTimes) * operation.attempts;
+    const Duration patience = std::max(timing_.shortestHedge, pool.meanTime() * UsualTimes) * operation.tries();
     if (now - operation.sentAt < patience) {
         return;
     }
