Hold the first election at once where no lease can be alive

Ruled out: the time to read the log (30 ms), to find the leader (20 ms) and to send the configuration (40 ms). Change: the answer to hello says whether the sender leads or follows a live leader. Where every other voter denies it, the lease is not waited out; one without its disk leads as little, and is not waited for as a voucher.

--- a/include/daisyrelay/consensus/raftcore.h
+++ b/include/daisyrelay/consensus/raftcore.h
@@ -89,8 +89,11 @@
     void onVote(Instant now, const RaftMessage &message);
     void onVoteAnswer(Instant now, const RaftMessage &message);
     void resetElectionTimer(Instant now);
+    [[nodiscard]] Duration drawDelay(Duration least, Duration extra);
     [[nodiscard]] bool followsLiveLeader(Instant now) const;
     [[nodiscard]] bool mayVote(Instant now) const;
+    [[nodiscard]] bool nobodyLeads() const;
+    void hastenFirstElection(Instant now);
     [[nodiscard]] Instant leaseUntil() const;
 
     // replication.cpp
@@ -167,6 +170,7 @@
 
     std::uint64_t bootNonce_ = 0;
     Instant helloAt_ {};
+    bool hastened_ = false; ///< Whether the first election was brought forward.
     bool vouched_ = false; ///< Whether enough voters know of no promise that the disk has lost.
     std::map<VmId, RaftMessage> helloAnswers_;
     std::map<VmId, std::uint64_t> rejoining_; ///< Incarnations that asked to be members.
--- a/include/daisyrelay/wire/raftmessages.h
+++ b/include/daisyrelay/wire/raftmessages.h
@@ -43,12 +43,13 @@
     std::uint64_t total = 0; ///< InstallSnapshot: bytes of the whole encoded snapshot.
     std::string snapshot; ///< One chunk of an encoded RaftSnapshot.
     ZoneId zone; ///< Hello and its answer: where the sender runs.
+    bool leaderless = false; ///< HelloAnswer: the sender neither leads nor follows a live leader.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(kind, from, to, incarnation, term, lastIndex, lastTerm, commit, granted, round, standing, entries,
-            offset, total, snapshot, zone);
+            offset, total, snapshot, zone, leaderless);
     }
 };
 
--- a/lib/consensus/election.cpp
+++ b/lib/consensus/election.cpp
@@ -21,6 +21,10 @@
         hardStateDirty_ = true;
     }
     resetElectionTimer(now);
+    if (now - startedAt_ < 2 * options_.electionTimeout && nobodyLeads()) {
+        // The others may not have heard from all yet.
+        electionAt_ = now + drawDelay(options_.heartbeat, options_.heartbeat);
+    }
     for (const Member &member : log_.membership().members) {
         if (member.voter && member.vm != options_.self) {
             RaftMessage message;
@@ -108,10 +112,39 @@
     countVotes(now);
 }
 
+Duration RaftCore::drawDelay(Duration least, Duration extra)
+{
+    std::uniform_int_distribution<Duration::rep> distribution(0, extra.count());
+    return least + Duration(distribution(random_));
+}
+
 void RaftCore::resetElectionTimer(Instant now)
 {
-    std::uniform_int_distribution<Duration::rep> extra(0, options_.electionTimeout.count());
-    electionAt_ = now + options_.electionTimeout + Duration(extra(random_));
+    electionAt_ = now + drawDelay(options_.electionTimeout, options_.electionTimeout);
+}
+
+// After a start of all VMs there is no lease to wait out: each voter has said since this VM started that it neither
+// leads nor follows. A leader that was elected meanwhile has the ear of a quorum, which no candidate gets without it.
+bool RaftCore::nobodyLeads() const
+{
+    const std::vector<Member> &members = log_.membership().members;
+    return std::all_of(members.begin(), members.end(), [this](const Member &member) {
+        if (!member.voter || member.vm == options_.self) {
+            return true;
+        }
+        // One that has lost its disk leads as little as one that says so.
+        const auto answer = helloAnswers_.find(member.vm);
+        return answer != helloAnswers_.end() && answer->second.leaderless;
+    });
+}
+
+void RaftCore::hastenFirstElection(Instant now)
+{
+    if (hastened_ || leader_ || role_ != RaftRole::Follower || !mayVote(now) || !isVoter()) {
+        return;
+    }
+    hastened_ = true;
+    electionAt_ = std::min(electionAt_, now + drawDelay(Duration::zero(), options_.heartbeat / 2));
 }
 
 bool RaftCore::followsLiveLeader(Instant now) const
@@ -123,10 +156,11 @@
 }
 
 // Whether a vote counts is for the candidate to know: its membership can be newer than the one known here.
-// A VM that has just started does not know whether it heard from a leader right before, so it waits out any lease.
+// A VM that has just started does not know whether it heard from a leader right before, so it waits out any lease,
+// unless it knows that there is none.
 bool RaftCore::mayVote(Instant now) const
 {
-    return vouched_ && !blocked_ && now - startedAt_ >= options_.electionTimeout;
+    return vouched_ && !blocked_ && (now - startedAt_ >= options_.electionTimeout || nobodyLeads());
 }
 
 Instant RaftCore::leaseUntil() const
--- a/lib/consensus/raftcore.cpp
+++ b/lib/consensus/raftcore.cpp
@@ -24,8 +24,7 @@
         restore_ = log_.snapshot().data;
     }
     // A start needs no long wait to keep candidates apart; the time until the first vote may be given counts for all.
-    std::uniform_int_distribution<Duration::rep> extra(0, 2 * options_.heartbeat.count());
-    electionAt_ = now + options_.electionTimeout + Duration(extra(random_));
+    electionAt_ = now + drawDelay(options_.electionTimeout, 2 * options_.heartbeat);
 }
 
 void RaftCore::tick(Instant now)
@@ -46,6 +45,7 @@
         }
         return;
     }
+    hastenFirstElection(now);
     if (now >= electionAt_) {
         leader_.reset();
         resetElectionTimer(now);
@@ -242,6 +242,7 @@
     switch (message.kind) {
     case RaftMessageKind::Vote:
     case RaftMessageKind::Hello:
+    case RaftMessageKind::HelloAnswer: // The first membership may be made of its incarnation.
         return hardStateDirty_;
     case RaftMessageKind::VoteAnswer:
         return message.granted && hardStateDirty_;
--- a/lib/consensus/rejoin.cpp
+++ b/lib/consensus/rejoin.cpp
@@ -44,7 +44,7 @@
     }
 }
 
-void RaftCore::onHello(Instant /*now*/, const RaftMessage &message)
+void RaftCore::onHello(Instant now, const RaftMessage &message)
 {
     RaftMessage answer;
     answer.kind = RaftMessageKind::HelloAnswer;
@@ -53,6 +53,7 @@
     answer.lastTerm = log_.last().term;
     answer.round = message.round;
     answer.zone = options_.zone;
+    answer.leaderless = role_ != RaftRole::Leader && !followsLiveLeader(now);
     if (const auto known = marks_.find(message.from); known != marks_.end()) {
         const Mark &mark = known->second;
         answer.granted = mark.incarnation == message.incarnation
@@ -96,12 +97,15 @@
     }
     const auto answered = static_cast<std::size_t>(std::count_if(
         helloAnswers_.begin(), helloAnswers_.end(), [this](const auto &answer) { return mayVouch(answer.second); }));
-    const bool waited = now - startedAt_ >= options_.electionTimeout;
-    vouched_ = vouched_ || answered >= (waited ? (others + 1) / 2 : others);
+    const auto heard = static_cast<std::size_t>(std::count_if(helloAnswers_.begin(), helloAnswers_.end(),
+        [this](const auto &answer) { return !options_.openMembership || memberOf(answer.first) != nullptr; }));
+    // One that has lost its disk knows nothing, however long it is waited for.
+    const bool waited = heard >= others || now - startedAt_ >= options_.electionTimeout;
+    vouched_ = vouched_ || (waited && answered >= (others + 1) / 2);
 }
 
-// A VM that holds nothing knows of no promise, unless it is a voter that has not stored the founding yet: its incarnation
-// shows that its disk is the one with which it was made a voter.
+// A VM that holds nothing knows of no promise, unless it is a voter that has not stored the founding yet: its
+// incarnation shows that its disk is the one with which it was made a voter.
 bool RaftCore::mayVouch(const RaftMessage &answer) const
 {
     const Member *member = memberOf(answer.from);
--- a/unittests/consensus/rafttrapstest.cpp
+++ b/unittests/consensus/rafttrapstest.cpp
@@ -234,3 +234,88 @@
         checkPromises(cluster);
     }
 }
+
+TEST(RaftTraps, AfterALossOfPowerOfAllTheFirstLeaderComesAtOnce)
+{
+    FakeCluster cluster(3);
+    proposeAndWait(cluster, settle(cluster), "accepted");
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t at = 0; at < 3; ++at) {
+            cluster.crash(at);
+        }
+        cluster.run(1s);
+        for (std::size_t at = 0; at < 3; ++at) {
+            cluster.start(at);
+            cluster.run(70ms);
+        }
+        // The last one is up; no lease of before can be alive, so that none is waited out.
+        CHECK(cluster.runUntil([&cluster]() { return cluster.leader().has_value(); }, 250ms));
+        CHECK(cluster.applied(*cluster.leader(), "accepted"));
+        cluster.run(1s);
+        checkPromises(cluster);
+    }
+}
+
+TEST(RaftTraps, AfterALossOfPowerAndOfADiskTheFirstLeaderComesAtOnce)
+{
+    FakeCluster cluster(3);
+    proposeAndWait(cluster, settle(cluster), "accepted");
+    for (int round = 0; round < 20; ++round) {
+        settle(cluster);
+        cluster.run(1s);
+        const std::size_t lost = static_cast<std::size_t>(round) % 3;
+        for (std::size_t at = 0; at < 3; ++at) {
+            cluster.crash(at);
+        }
+        cluster.run(1s);
+        cluster.vms[lost].disk = std::make_unique<FakeDisk>();
+        for (std::size_t at = 0; at < 3; ++at) {
+            cluster.start(at);
+        }
+        CHECK(cluster.runUntil([&cluster]() { return cluster.leader().has_value(); }, 250ms));
+        CHECK(cluster.applied(*cluster.leader(), "accepted"));
+        checkPromises(cluster);
+    }
+}
+
+TEST(RaftTraps, OneThatRestartsBesideALiveLeaderWaitsOutItsLease)
+{
+    FakeCluster cluster(3);
+    const std::size_t leader = settle(cluster);
+    const std::size_t candidate = (leader + 1) % 3;
+    const std::size_t restarted = (leader + 2) % 3;
+    cluster.restart(restarted);
+    cluster.run(100ms);
+    // The leader is cut off from both, and still holds its lease.
+    cluster.isolate(leader);
+    const Instant cutAt = cluster.now;
+    cluster.runUntil([&]() { return cluster.vms[candidate].core->role() == RaftRole::Leader; }, 5s);
+    CHECK(cluster.now - cutAt >= cluster.options.electionTimeout * 9 / 10);
+    checkPromises(cluster);
+}
+
+// The first membership is made of the incarnations in these answers; one that is lost in a crash would be a lost disk.
+TEST(RaftTraps, AnIncarnationIsToldOnlyOnceItIsStored)
+{
+    RaftOptions options;
+    options.self = VmId { "vm0" };
+    options.controlVms = { VmId { "vm0" }, VmId { "vm1" }, VmId { "vm2" } };
+    const Instant now = Instant() + 1h;
+    RaftCore core(now, options, {});
+    RaftMessage hello;
+    hello.kind = RaftMessageKind::Hello;
+    hello.from = VmId { "vm1" };
+    hello.to = options.self;
+    hello.incarnation = 7;
+    hello.round = 1;
+    core.receive(now, hello);
+    const auto answers = [](const RaftActions &actions) {
+        return std::count_if(actions.messages.begin(), actions.messages.end(),
+            [](const RaftMessage &message) { return message.kind == RaftMessageKind::HelloAnswer; });
+    };
+    const RaftActions before = core.takeActions();
+    CHECK_EQUAL(0, answers(before));
+    core.onPersisted(now);
+    const RaftActions after = core.takeActions();
+    CHECK_EQUAL(1, answers(after));
+}
