Add a fault soak of the platform's daemon, and report proofs of leadership instead of signs of life

The soak (platform/soak, tools/daisyrelay-soak) runs the real daemon as separate processes, with stand-in databases, the promotion call, an operator and callers in one program, loopback proxies on the links to databases and between VMs, and 25 kinds of faults drawn from a seed. New setting `reached_at` names where VMs are reached if not at their own address.

Cause: control was refused by a former primary (connection limit) and relied on the entries, which reported any answer as a sign of life, also "not primary"; so the former primary stayed recorded for the 12 s of the check. Ruled out: a stuck probe (each outcome of a probe is logged now) and a lost command. Change: an entry reports only proofs of leadership. The new test of ProxyCore fails on the old code.

--- a/include/daisyrelay/config/nodesettings.h
+++ b/include/daisyrelay/config/nodesettings.h
@@ -20,6 +20,7 @@
     std::uint16_t peerPort = 0; ///< The same on every VM.
     std::uint16_t controlPort = 0; ///< Of the control API; the same on every control VM.
     std::vector<VmId> seeds; ///< Control VMs.
+    std::map<VmId, Endpoint> reachedAt; ///< Where VMs are reached if not at their own address and the peer port.
     bool founding = false; ///< Whether the whole system starts for the first time.
     std::string dataFolder; ///< Control.
     std::uint32_t tolerated = 1; ///< Control VMs that may be lost at once.
--- a/include/daisyrelay/supervision/primarywatch.h
+++ b/include/daisyrelay/supervision/primarywatch.h
@@ -60,6 +60,7 @@
     void enter(Instant now, Stage stage);
     void probe(const WatchContext &context, const BackendRecord &backend, ProbeKind kind, Duration timeout);
     void record(Instant now, const WatchContext &context, const BackendId &backend, std::string_view reason);
+    void logEvidence(Instant now, const BackendId &backend, ProbeResult result, const WatchContext &context);
     [[nodiscard]] std::string_view failureOf(Instant now, const WatchContext &context, const PrimaryRecord &primary);
     [[nodiscard]] std::vector<const BackendRecord *> replicas(
         Instant now, const WatchContext &context, const BackendId &primary) const;
@@ -85,6 +86,7 @@
     std::uint64_t ticket_ = 0;
     std::uint64_t token_ = 0;
     Instant retryAt_ {};
+    std::optional<ProbeResult> probedBefore_;
 };
 
 } // namespace daisyrelay
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -30,7 +30,7 @@
 struct PrimaryObservation {
     ServiceId service;
     BackendId backend;
-    bool answering = false; ///< It has answered within the last report interval or so.
+    bool answering = false; ///< It has proven that it leads within the last report interval or so.
     bool unreachable = false; ///< Connections to it fail or stay without an answer.
 
     template <typename Archive>
--- a/lib/config/nodesettings.cpp
+++ b/lib/config/nodesettings.cpp
@@ -45,12 +45,28 @@
     }
 }
 
+static void readReachedAt(YamlReader &reader, const YAML::Node &root, NodeSettings &settings)
+{
+    const YAML::Node reached = root["reached_at"];
+    if (!reached) {
+        return;
+    }
+    if (!reached.IsMap()) {
+        reader.fail(reached, "reached_at", "must map addresses of VMs to address:port");
+        return;
+    }
+    for (const auto &entry : reached) {
+        const auto vm = entry.first.as<std::string>();
+        settings.reachedAt[VmId { vm }] = reader.readEndpoint(reached, vm);
+    }
+}
+
 static NodeSettings readNodeSettings(YamlReader &reader, const YAML::Node &root)
 {
     NodeSettings settings;
     if (!reader.checkMap(root, "",
             { "address", "name", "zone", "listen", "peer_port", "seeds", "founding", "data_folder", "tolerated",
-                "grace", "platform", "metrics_port", "log_budget" })) {
+                "grace", "platform", "metrics_port", "log_budget", "reached_at" })) {
         return settings;
     }
     settings.id = VmId { reader.requireString(root, "address") };
@@ -58,6 +74,7 @@
     settings.zone = ZoneId { reader.requireString(root, "zone") };
     readRole(reader, root, settings);
     readSeeds(reader, root, settings);
+    readReachedAt(reader, root, settings);
     settings.peerPort = reader.readPort(root, "peer_port", 0);
     if (settings.peerPort == 0) {
         reader.fail(root["peer_port"], "peer_port", "is required");
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -119,10 +119,11 @@
         if (pool == nullptr || pool->quota() == 0) {
             continue;
         }
-        const std::optional<Instant> answered = pool->lastAnswer();
+        // Only an answer that proves leadership counts; one that no longer leads answers, too.
+        const std::optional<Instant> proven = service.freshness.newest();
         constexpr Duration Recent = std::chrono::milliseconds(200);
         report.primaries.push_back(
-            { id, service.primary.backend, answered && now - *answered < Recent, pool->unreachable(now) });
+            { id, service.primary.backend, proven && now - *proven < Recent, pool->unreachable(now) });
     }
 }
 
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -16,7 +16,7 @@
 ControlNode::ControlNode(NodeContext &context)
     : context_(context)
     , supervisor_(context.log, context.metrics, drawRandomNumber())
-    , mesh_(context.io, context.settings.id, context.settings.peerPort,
+    , mesh_(context.io, context.settings.id, context.settings.peerPort, context.settings.reachedAt,
           [this](const VmId &from, ClusterPayload payload) { onPeer(from, std::move(payload)); })
     , probes_(context.io, context.platform,
           [this](const ProbeOutcome &outcome) {
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -21,7 +21,7 @@
     , core_(context.settings.zone, context.log, context.metrics, run_)
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
-    , mesh_(context.io, context.settings.id, context.settings.peerPort,
+    , mesh_(context.io, context.settings.id, context.settings.peerPort, context.settings.reachedAt,
           [this](const VmId &from, ClusterPayload payload) { onPeer(from, std::move(payload)); })
     , timer_(context.io)
     , controlVms_(context.settings.seeds)
--- a/lib/runtime/node.cpp
+++ b/lib/runtime/node.cpp
@@ -150,6 +150,8 @@
     auto logger = std::make_shared<spdlog::logger>("daisyrelay", sink);
     spdlog::set_default_logger(logger);
     std::signal(SIGPIPE, SIG_IGN);
+    // A file that may not grow is an error of its write, as a full disk is.
+    std::signal(SIGXFSZ, SIG_IGN);
     Expected<NodeSettings> settings = loadNodeSettings(settingsFile);
     if (!settings) {
         spdlog::error("event=node.failed error=\"{}\"", settings.error().detail);
--- a/lib/runtime/peermesh.cpp
+++ b/lib/runtime/peermesh.cpp
@@ -16,8 +16,14 @@
 /// More waits for a peer only if it does not read; then it is not worth keeping.
 static constexpr std::size_t MostUnsent = std::size_t { 8 } * 1024 * 1024;
 
-PeerMesh::PeerMesh(asio::io_context &context, VmId self, std::uint16_t port, Receive receive)
-    : context_(context), self_(std::move(self)), port_(port), receive_(std::move(receive)), acceptor_(context)
+PeerMesh::PeerMesh(
+    asio::io_context &context, VmId self, std::uint16_t port, std::map<VmId, Endpoint> reachedAt, Receive receive)
+    : context_(context)
+    , self_(std::move(self))
+    , port_(port)
+    , reachedAt_(std::move(reachedAt))
+    , receive_(std::move(receive))
+    , acceptor_(context)
 {
 }
 
@@ -123,7 +129,9 @@
             }
         };
         outgoing.stream->setHooks(std::move(hooks));
-        outgoing.stream->connect({ to.value, port_ }, ConnectTimeout);
+        const auto other = reachedAt_.find(to);
+        outgoing.stream->connect(
+            other == reachedAt_.end() ? Endpoint { to.value, port_ } : other->second, ConnectTimeout);
     }
     if (outgoing.stream->unsent() < MostUnsent) {
         outgoing.stream->write(frame);
--- a/lib/runtime/peermesh.h
+++ b/lib/runtime/peermesh.h
@@ -16,7 +16,9 @@
 public:
     using Receive = std::function<void(const VmId &from, ClusterPayload payload)>;
 
-    PeerMesh(boost::asio::io_context &context, VmId self, std::uint16_t port, Receive receive);
+    /// Peers are reached at their address and \p port, but for those in \p reachedAt.
+    PeerMesh(boost::asio::io_context &context, VmId self, std::uint16_t port, std::map<VmId, Endpoint> reachedAt,
+        Receive receive);
 
     /// \returns an error if the address can not be bound.
     Expected<void> listen();
@@ -40,6 +42,7 @@
     boost::asio::io_context &context_;
     VmId self_;
     std::uint16_t port_;
+    std::map<VmId, Endpoint> reachedAt_;
     Receive receive_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<VmId, Outgoing> outgoing_;
--- a/lib/supervision/primarywatch.cpp
+++ b/lib/supervision/primarywatch.cpp
@@ -314,6 +314,21 @@
     }
 }
 
+void PrimaryWatch::logEvidence(
+    Instant now, const BackendId &backend, ProbeResult result, const WatchContext &context)
+{
+    if (probedBefore_ == result) {
+        return;
+    }
+    static constexpr std::array<std::string_view, 5> Names { "leads", "follows", "answered", "refused", "silent" };
+    context.log.log(now, "primary.probed",
+        { { "service", std::string_view(service_.value) }, { "backend", std::string_view(backend.value) },
+            { "result", Names.at(static_cast<std::size_t>(result)) },
+            { "before", probedBefore_ ? Names.at(static_cast<std::size_t>(*probedBefore_)) : "" },
+            { "proof_age_ms", now - provenAt_ } });
+    probedBefore_ = result;
+}
+
 bool PrimaryWatch::onProbe(Instant now, const ProbeOutcome &outcome, const WatchContext &context)
 {
     const auto found = probes_.find(outcome.probeId);
@@ -337,6 +352,7 @@
     if (stage_ != Stage::Watching) {
         return true;
     }
+    logEvidence(now, backend, outcome.result, context);
     const auto since
         = [now](std::optional<Instant> &at, bool holds) { at = holds ? at.value_or(now) : std::optional<Instant>(); };
     if (outcome.result != ProbeResult::Silent) {
--- /dev/null
+++ b/tools/daisyrelay-soak/main.cpp
@@ -0,0 +1,62 @@
+// Plays random faults against real processes on loopback and checks what callers and backend servers were promised.
+#include "platform/soak/soakrun.h"
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(node, "", "The program daisyrelay-node");
+DEFINE_string(folder, "", "Where settings, disks and logs go; a folder for each seed");
+DEFINE_uint64(seed, 1, "The first seed");
+DEFINE_uint64(runs, 1, "How many seeds, one after the other");
+DEFINE_uint64(seconds, 20, "How long faults strike in each run");
+DEFINE_uint64(entries, 4, "Entries");
+DEFINE_uint64(controls, 3, "Control VMs");
+DEFINE_uint64(callers, 12, "Callers");
+DEFINE_string(only, "", "Only this kind of fault");
+
+static bool play(std::uint64_t seed)
+{
+    daisyrelay::soak::SoakOptions options;
+    options.seed = seed;
+    options.length = std::chrono::seconds(FLAGS_seconds);
+    options.size.entries = FLAGS_entries;
+    options.size.controls = FLAGS_controls;
+    options.size.callers = FLAGS_callers;
+    options.program = FLAGS_node;
+    options.folder = FLAGS_folder + "/seed-" + std::to_string(seed);
+    options.only = FLAGS_only;
+    std::filesystem::remove_all(options.folder);
+    std::filesystem::create_directories(options.folder);
+    std::cout << "seed " << seed << '\n';
+    boost::asio::io_context context(1);
+    daisyrelay::soak::SoakRun run(context, options);
+    const daisyrelay::soak::SoakVerdict verdict = run.play();
+    for (const std::string &violation : verdict.violations) {
+        std::cout << "  BROKEN " << violation << '\n';
+    }
+    std::cout << "seed " << seed << (verdict.violations.empty() ? ": held" : ": BROKEN") << ", faults "
+              << verdict.faults << ", promotions " << verdict.promotions << ", served " << verdict.served
+              << ", not served " << verdict.notServed << ", statements run " << verdict.runs << std::endl;
+    return verdict.violations.empty();
+}
+
+int main(int argc, char **argv)
+{
+    constexpr int ExitBroken = 1;
+    constexpr int ExitBadUsage = 2;
+    gflags::SetUsageMessage("daisyrelay-soak --node PROGRAM --folder FOLDER [--seed N] [--runs N] [--seconds N]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_node.empty() || FLAGS_folder.empty() || FLAGS_entries == 0 || FLAGS_controls == 0) {
+        std::cerr << "daisyrelay-soak: --node and --folder are required, --entries and --controls must be above 0\n";
+        return ExitBadUsage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    bool held = true;
+    for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_runs; ++seed) {
+        held = play(seed) && held;
+    }
+    return held ? 0 : ExitBroken;
+}
--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -218,3 +218,28 @@
     CHECK(service.core.drained(service.now));
     CHECK_EQUAL(0U, service.connections.size());
 }
+
+// Found by the fault soak: control could not reach the former primary itself, and took the refusals that entries got from
+// it for signs of life, so that it was never replaced.
+TEST(ProxyCore, AServerThatNoLongerLeadsIsNotReportedAsAnswering)
+{
+    FakeService service;
+    service.configure(ReadGuarantee::Primary);
+    service.announce();
+    const SessionId session = service.open("a");
+    const auto reported = [&service]() {
+        EntryReport report;
+        service.core.fill(service.now, report);
+        CHECK_EQUAL(1, report.primaries.size());
+        return report.primaries.front().answering;
+    };
+    service.send(session, StatementType::Write, "x");
+    CHECK(service.answer(session).code == AnswerCode::Ok);
+    CHECK(reported());
+    service.promote("b1");
+    for (int at = 0; at < 3; ++at) {
+        service.send(session, StatementType::Write, "x");
+        CHECK(service.answer(session).code == AnswerCode::NotPrimary);
+    }
+    CHECK(!reported());
+}
--- /dev/null
+++ b/unittests/soak/faultscheduletest.cpp
@@ -0,0 +1,47 @@
+#include "platform/soak/faultschedule.h"
+
+#include <algorithm>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace daisyrelay::soak;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FaultSchedule) {};
+
+TEST(FaultSchedule, ASeedRepeatsARun)
+{
+    const std::vector<Fault> first = drawFaults(7, 60s);
+    const std::vector<Fault> again = drawFaults(7, 60s);
+    CHECK(std::equal(first.begin(), first.end(), again.begin(), again.end(), [](const Fault &left, const Fault &right) {
+        return left.at == right.at && left.kind == right.kind && left.target == right.target
+            && left.lasts == right.lasts;
+    }));
+    CHECK(drawFaults(8, 60s).front().at != first.front().at);
+}
+
+TEST(FaultSchedule, FaultsOverlapAndEndInTime)
+{
+    const std::vector<Fault> faults = drawFaults(3, 60s);
+    bool overlap = false;
+    for (std::size_t at = 0; at + 1 < faults.size(); ++at) {
+        CHECK(faults[at].at <= faults[at + 1].at);
+        CHECK(faults[at].at + faults[at].lasts <= 60s);
+        overlap = overlap || faults[at].at + faults[at].lasts > faults[at + 1].at;
+    }
+    CHECK(overlap);
+}
+
+TEST(FaultSchedule, EveryKindComes)
+{
+    std::set<FaultKind> kinds;
+    for (std::uint64_t seed = 0; seed < 10; ++seed) {
+        for (const Fault &fault : drawFaults(seed, 60s)) {
+            kinds.insert(fault.kind);
+            CHECK(!faultKindName(fault.kind).empty());
+        }
+    }
+    CHECK_EQUAL(static_cast<std::size_t>(FaultKind::Last), kinds.size());
+}
