--- a/unittests/proxy/overloadtest.cpp
+++ b/unittests/proxy/overloadtest.cpp
@@ -76,8 +76,10 @@
     behind.announce(1);
     behind.lag = 10s;
     const SessionId writer = behind.open("w");
+    constexpr std::size_t Readers = 60;
     std::vector<SessionId> readers;
-    for (int at = 0; at < 60; ++at) {
+    readers.reserve(Readers);
+    for (std::size_t at = 0; at < Readers; ++at) {
         readers.push_back(behind.open("r" + std::to_string(at)));
     }
     // The primary can run a read in 7 ms; they come every 4 ms.
