--- a/lib/limits/adaptivewindow.cpp
+++ b/lib/limits/adaptivewindow.cpp
@@ -56,8 +56,8 @@
     const double rise = learned_ < FirstAnswers ? FirstRise : UsualRise;
     ++learned_;
     usualTime_ += (recentTime_ > usualTime_ ? rise : UsualFall) * (recentTime_ - usualTime_);
-    // With long pauses the mean over several answers is too old. Slow answers alone can also be long statements, so they
-    // bring no pauses unless the server refuses as well.
+    // With long pauses the mean over several answers is too old. Slow answers alone can also be long statements, so
+    // they bring no pauses unless the server refuses as well.
     const bool slow = window_ < 1 ? ticks > CrowdedFactor * usualTime_ : crowded();
     if (slow) {
         shrink(now, underWay, now - refusedAt_ < Remembered ? Smallest : std::min(1.0, window_));
--- a/lib/supervision/primarywatch.cpp
+++ b/lib/supervision/primarywatch.cpp
@@ -314,8 +314,7 @@
     }
 }
 
-void PrimaryWatch::logEvidence(
-    Instant now, const BackendId &backend, ProbeResult result, const WatchContext &context)
+void PrimaryWatch::logEvidence(Instant now, const BackendId &backend, ProbeResult result, const WatchContext &context)
 {
     if (probedBefore_ == result) {
         return;
--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -219,8 +219,8 @@
     CHECK_EQUAL(0U, service.connections.size());
 }
 
-// Found by the fault soak: control could not reach the former primary itself, and took the refusals that entries got from
-// it for signs of life, so that it was never replaced.
+// Found by the fault soak: control could not reach the former primary itself, and took the refusals that entries got
+// from it for signs of life, so that it was never replaced.
 TEST(ProxyCore, AServerThatNoLongerLeadsIsNotReportedAsAnswering)
 {
     FakeService service;
--- a/unittests/soak/standinservicetest.cpp
+++ b/unittests/soak/standinservicetest.cpp
@@ -26,7 +26,8 @@
     CHECK_EQUAL(1, service.servers()[1].applied);
 }
 
-// Found by seed 15: a replica that had heard of the next term, but lacked a commit of the one before, ran a read for it.
+// Found by seed 15: a replica that had heard of the next term, but lacked a commit of the one before, ran a read for
+// it.
 TEST(StandinService, APositionOfAnOlderTermIsJudgedByTheLog)
 {
     service.extraLag = 10s;
