Test that a log reader who stops costs lines and no time

A pipe that nobody reads is filled far beyond what it and the sink hold: no write waits, dropped lines are counted, and the lines that were kept are whole once the reader goes on.

--- /dev/null
+++ b/unittests/runtime/linesinktest.cpp
@@ -0,0 +1,79 @@
+// A reader of the log that stops costs lines, never service.
+#include "../../lib/runtime/linesink.h"
+
+#include <array>
+
+#include <fcntl.h>
+#include <spdlog/logger.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+
+TEST_GROUP(LineSink)
+{
+    std::array<int, 2> ends {};
+    std::shared_ptr<LineSink> sink;
+    std::shared_ptr<spdlog::logger> logger;
+
+    void setup() override
+    {
+        CHECK_EQUAL(0, ::pipe(ends.data()));
+        sink = std::make_shared<LineSink>(ends[1]);
+        logger = std::make_shared<spdlog::logger>("test", sink);
+    }
+
+    void teardown() override
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    /// Returns what the pipe holds.
+    std::string readAll() const
+    {
+        ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        std::string text;
+        std::array<char, 4096> buffer {};
+        for (ssize_t size = 0; (size = ::read(ends[0], buffer.data(), buffer.size())) > 0;) {
+            text.append(buffer.data(), static_cast<std::size_t>(size));
+        }
+        return text;
+    }
+};
+
+TEST(LineSink, AReaderThatStopsCostsLinesAndNoTime)
+{
+    // Far more than a pipe and the memory for pending lines hold; a write that waited would never end.
+    constexpr int Lines = 20000;
+    const std::string line(100, 'x');
+    for (int at = 0; at < Lines; ++at) {
+        logger->info("{} {}", at, line);
+        sink->writeOut();
+    }
+    CHECK(sink->dropped() > 0);
+    CHECK(sink->dropped() < Lines);
+}
+
+TEST(LineSink, LinesAreWholeOnceTheReaderGoesOn)
+{
+    constexpr int Lines = 20000;
+    const std::string line(100, 'x');
+    for (int at = 0; at < Lines; ++at) {
+        logger->info("{}", line);
+        sink->writeOut();
+    }
+    std::string text;
+    for (std::string part = readAll(); !part.empty(); part = readAll()) {
+        text += part;
+        sink->writeOut();
+    }
+    logger->info("last");
+    sink->writeOut();
+    text += readAll();
+    CHECK(text.ends_with("\nlast\n"));
+    const std::size_t whole = text.size() - std::string("last\n").size();
+    CHECK_EQUAL(0, whole % (line.size() + 1));
+    CHECK_EQUAL(Lines - sink->dropped(), whole / (line.size() + 1));
+}
