Drop what could not change anything, and ask once whether a server may run a read

Two assignments made a late statement look like one that was tried too often, though loseAnswer never tries a late one again; they only made the log say six attempts. One filter of servers for reads stood twice. The word on mostAttempts says what counts.

--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -36,7 +36,7 @@
                                                       ///< that loses its power stand in the way of its next start.
     Duration drainUse = std::chrono::milliseconds(3000); ///< A server that leaves gets work for so long at most, if no
                                                          ///< other can run it; it stays for seven seconds.
-    std::uint32_t mostAttempts = 6; ///< For one statement that did not run.
+    std::uint32_t mostAttempts = 6; ///< Of one statement; refused ones do not count.
     std::size_t mostPrepared = 64; ///< Prepared statements on one connection.
     std::size_t mostSessionNames = 256; ///< Prepared statements, and values, of one session.
 };
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -147,14 +147,18 @@
     }));
 }
 
+static bool mayRunRead(Instant now, const BackendPool &pool, const ServiceId &service, const LogPoint &since)
+{
+    return pool.record().service == service && pool.usable(now) && !pool.suspect(now) && !pool.lagsBehind(now, since);
+}
+
 // Servers of the service that may run a read share what waits for them.
 Duration ProxyCore::predictedReadWait(
     Instant now, const Session &session, const Service &service, const LogPoint &since) const
 {
     double perTick = 0;
     for (const auto &[id, pool] : pools_) {
-        if (pool.record().service == session.operation->route->service && pool.usable(now) && !pool.suspect(now)
-            && !pool.lagsBehind(now, since) && pool.quota() > 0) {
+        if (mayRunRead(now, pool, session.operation->route->service, since) && pool.quota() > 0) {
             perTick += 1 / std::max(1.0, static_cast<double>(pool.waitFor(now, 1).count()));
         }
     }
@@ -169,9 +173,8 @@
     Duration bestCost {};
     bool bestDrains = false;
     for (auto &[id, pool] : pools_) {
-        if (pool.record().service != operation.route->service || operation.tried.contains(id) || !pool.usable(now)
-            || pool.suspect(now) || pool.lagsBehind(now, since) || (idleOnly && !pool.hasRoom(now))
-            || (guest && pool.record().draining && id != service.primary.backend)
+        if (!mayRunRead(now, pool, operation.route->service, since) || operation.tried.contains(id)
+            || (idleOnly && !pool.hasRoom(now)) || (guest && pool.record().draining && id != service.primary.backend)
             || (idleOnly ? pool.idle() == 0 : pool.quota() == 0)) {
             continue;
         }
--- a/lib/proxy/guests.cpp
+++ b/lib/proxy/guests.cpp
@@ -159,7 +159,6 @@
         return;
     }
     homeStates_[operation.home].avoidUntil = now + AvoidFor;
-    operation.attempts = late ? timing_.mostAttempts + operation.refusals : operation.attempts;
     loseAnswer(now, session, late ? "timed-out" : "home-silent");
 }
 
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -88,7 +88,6 @@
         tryAgain(now, session, pool, AnswerCode::Busy);
     } else if (late || silent) {
         connection.session = 0;
-        operation.attempts = late ? timing_.mostAttempts + operation.refusals : operation.attempts;
         loseAnswer(now, session, late ? "timed-out" : "server-silent");
     } else {
         hedge(now, session);
