--- a/include/daisyrelay/base.h
+++ b/include/daisyrelay/base.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/base/counters.h"
 #include "daisyrelay/base/errorkind.h"
+#include "daisyrelay/base/fencingpolicy.h"
 #include "daisyrelay/base/ids.h"
 #include "daisyrelay/base/latencystats.h"
 #include "daisyrelay/base/randomnumber.h"
--- a/include/daisyrelay/config/nodesettings.h
+++ b/include/daisyrelay/config/nodesettings.h
@@ -24,6 +24,8 @@
     std::map<VmId, Endpoint> endpointOverrides;
     bool canBootstrap = false; ///< Whether the whole system starts for the first time.
     std::string dataFolder; ///< Required if control is true.
+    /// Leases are safe on every platform, so they are used unless the platform is known to fence.
+    FencingPolicy fencing = FencingPolicy::Leases;
     std::uint32_t toleratedFailures = 1; ///< Number of control VMs that may fail at the same time.
     /// Time between the termination signal and the end of the process.
     std::chrono::milliseconds shutdownGrace { 6000 };
--- a/include/daisyrelay/proxy.h
+++ b/include/daisyrelay/proxy.h
@@ -4,6 +4,7 @@
 
 #include "daisyrelay/proxy/backendpool.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
+#include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
 #include "daisyrelay/proxy/proxycore.h"
 #include "daisyrelay/proxy/proxytiming.h"
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -38,6 +38,7 @@
     std::vector<StatementType> sentTypes; ///< Types of the statements of the exchange, in the order sent.
     std::size_t payloadIndex = 0; ///< Index in the exchange of the caller's statement or of the BEGIN sent before it.
     bool awaitsBegin = false; ///< The exchange carries only the BEGIN; the statement follows if that succeeds.
+    bool needsLease = false; ///< The statement or transaction is valid only while the lease on the primary is.
     bool confirmsPrimary = false; ///< Success of the exchange confirms that the server is the primary.
     std::uint64_t generation = 0; ///< Generation of the primary when the exchange was sent; zero for a replica.
 };
--- /dev/null
+++ b/include/daisyrelay/proxy/primarylease.h
@@ -0,0 +1,72 @@
+// The lease of this entry on the primaries, as granted by control.
+#pragma once
+
+#include "daisyrelay/base.h"
+#include "daisyrelay/wire.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace daisyrelay {
+
+/// Decides whether a primary may be sent statements and whether its responses may be delivered. A response counts only
+/// if the lease is alive when it arrives, because the server may have been replaced otherwise.
+///
+/// Under FencingPolicy::Platform both are always allowed.
+class PrimaryLease
+{
+public:
+    explicit PrimaryLease(FencingPolicy policy);
+
+    [[nodiscard]] FencingPolicy policy() const;
+
+    /// Records that report \p sequence is being sent. Leases are counted from then.
+    void recordReport(Instant now, std::uint64_t sequence);
+
+    /// Extends the lease that was granted in response to report \p sequence. \returns false if the report is unknown or
+    /// the lease already lasts longer.
+    bool extend(std::uint64_t sequence, Duration duration);
+
+    /// Replaces the set of withdrawn services. \returns the services whose withdrawal is new.
+    std::vector<ServiceId> setWithdrawn(const std::vector<PrimaryWithdrawal> &withdrawals);
+
+    /// Records that no exchange with the primary of \p service is in flight any more. \returns false unless this
+    /// releases a withdrawn service for the first time.
+    bool release(const ServiceId &service);
+
+    [[nodiscard]] bool isAlive(Instant now) const;
+
+    /// Tells whether a statement may be sent to the primary of \p service.
+    [[nodiscard]] bool canSend(Instant now, const ServiceId &service) const;
+
+    /// Tells whether a response of the primary of \p service that arrives at \p now is valid.
+    [[nodiscard]] bool canDeliver(Instant now, const ServiceId &service) const;
+
+    [[nodiscard]] bool isWithdrawn(const ServiceId &service) const;
+
+    /// Returns the withdrawn services that are not released yet.
+    [[nodiscard]] std::vector<ServiceId> unreleased() const;
+
+    /// Returns the releases to report to control.
+    [[nodiscard]] std::vector<PrimaryWithdrawal> released() const;
+
+private:
+    struct Withdrawal {
+        std::uint64_t id = 0;
+        bool isReleased = false;
+    };
+
+    struct SentReport {
+        std::uint64_t sequence = 0;
+        Instant sentAt {};
+    };
+
+    FencingPolicy policy_;
+    std::optional<Instant> expiresAt_;
+    std::deque<SentReport> sentReports_; ///< Recent reports, oldest first.
+    std::map<ServiceId, Withdrawal> withdrawals_;
+};
+
+} // namespace daisyrelay
--- a/include/daisyrelay/proxy/proxyactions.h
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -58,8 +58,12 @@
         message;
 };
 
+/// Sends a report to control without waiting for the next regular one.
+struct SendReportNow {
+};
+
 using ProxyAction = std::variant<AcceptSession, RejectSession, SendResponse, CloseSession, OpenBackendConnection,
-    CloseBackendConnection, RunExchange, SendToEntry>;
+    CloseBackendConnection, RunExchange, SendToEntry, SendReportNow>;
 
 /// Why a connection to a backend server was lost.
 enum class ConnectionLoss : std::uint8_t {
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -3,6 +3,7 @@
 
 #include "daisyrelay/proxy/backendpool.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
+#include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
 #include "daisyrelay/proxy/proxytiming.h"
 #include "daisyrelay/proxy/session.h"
@@ -18,14 +19,16 @@
 /// Decides how the statements of callers run. Free of I/O: the driver passes the time and performs the actions.
 ///
 /// Writes and reads that must see every acknowledged write run after a read-write BEGIN on the same connection, which
-/// only the primary accepts. No response therefore depends on this VM's knowledge of the primary being current. Other
+/// only the primary accepts. If the platform fences former primaries, no response therefore depends on this VM's
+/// knowledge of the primary being current; otherwise a PrimaryLease must be alive when the response arrives. Other
 /// reads carry a minimum position, and the backend server rejects them if its log has not reached it.
 class ProxyCore
 {
 public:
     /// \p sessionIdBase is added to the session identifiers sent to other entries. It must differ between runs of one
     /// VM, so that other entries do not confuse sessions of different runs.
-    ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase = 0, ProxyTiming timing = {});
+    ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase = 0, ProxyTiming timing = {},
+        FencingPolicy fencing = FencingPolicy::Platform);
 
     /// Applies an update from the leader of the control VMs.
     void onControlUpdate(Instant now, const EntryUpdate &update);
@@ -72,6 +75,9 @@
     /// Fills \p report with the state that control needs.
     void fillReport(Instant now, EntryReport &report) const;
 
+    /// Records that a report is about to be sent to control.
+    void recordReport(Instant now, std::uint64_t sequence);
+
     /// Returns whether timers are pending, so that tick() must be called at short intervals.
     [[nodiscard]] bool isBusy() const;
 
@@ -122,6 +128,18 @@
     void applyTopology(Instant now, const Topology &topology);
     Service &serviceOf(const ServiceId &service);
 
+    // leases.cpp
+    /// Returns whether \p update is older than one that was applied.
+    bool isOutdated(const EntryUpdate &update);
+    void applyLease(Instant now, const EntryUpdate &update);
+    void abortLeasedTransactions(Instant now, const ServiceId &service);
+    /// Reports a release of each withdrawn service that has no exchange with its primary in flight.
+    void releaseWithdrawn(Instant now);
+    [[nodiscard]] bool canUsePrimary(Instant now, const ServiceId &service) const;
+    /// Returns whether a response on \p connection that arrives at \p now is valid.
+    [[nodiscard]] bool isLeaseValid(Instant now, const BackendPool &pool, const BackendConnection &connection) const;
+    Placement waitForLease(Instant now, Session &session, const Service &service);
+
     // statements.cpp
     void respondLocally(Session &session, ResponseCode code = ResponseCode::Ok, std::string detail = {});
     void updateSessionNames(Session &session, const Statement &statement);
@@ -241,6 +259,11 @@
     std::uint64_t nextPreparedName_ = 1;
     ConnectionId nextConnection_ = 1;
     Instant lastIdleCheckAt_ {};
+    PrimaryLease lease_;
+    bool wasLeaseAlive_ = false; ///< Whether the lease was alive at the last tick.
+    std::map<ServiceId, Instant> withdrawnAt_; ///< When the withdrawal of a service that is not released arrived.
+    Term updateTerm_ = 0; ///< Leader term and number of the last applied update.
+    std::uint64_t updateNumber_ = 0;
     std::optional<Instant> lastControlUpdateAt_;
     std::optional<Instant> isolatedSince_; ///< Set while neither control nor most primaries respond.
     std::optional<Instant> drainStartedAt_;
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -39,6 +39,9 @@
     Duration maxConfigurationWait = std::chrono::milliseconds(1000);
     /// A BEGIN needs no slot at the server, so the response is expected at once.
     Duration beginTimeout = std::chrono::milliseconds(120);
+    /// How long the exchanges in flight with a withdrawn primary may take to end. Most statements take less; those that
+    /// do not are cut off, and their writes are in doubt.
+    Duration maxReleaseDelay = std::chrono::milliseconds(80);
     /// A failover is finished within this time; statements do not wait for the end of a longer outage.
     Duration maxFailoverTime = std::chrono::milliseconds(1500);
     /// Fraction of the latency target; statements that have waited longer yield to those that can still meet it.
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -52,6 +52,9 @@
     [[nodiscard]] std::vector<BackendHomes> homes() const;
     [[nodiscard]] std::uint64_t homesVersion() const;
 
+    /// Tells whether \p entry may have connections to \p backend.
+    [[nodiscard]] bool mayConnect(const VmId &entry, const BackendId &backend) const;
+
     /// Tells whether any report since \p since confirms that \p backend is the primary of \p service.
     [[nodiscard]] bool isConfirmedPrimary(Instant since, const ServiceId &service, const BackendId &backend) const;
 
--- /dev/null
+++ b/include/daisyrelay/supervision/leaseledger.h
@@ -0,0 +1,75 @@
+// The leases on primaries that control has granted to entries, and their withdrawal before a promotion.
+#pragma once
+
+#include "daisyrelay/base.h"
+#include "daisyrelay/wire.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace daisyrelay {
+
+/// Tells when no entry can use the primary of a service any more. An entry holds one lease, which covers the primaries
+/// of all services except those that are withdrawn. A withdrawal is complete once each entry that held a lease when it
+/// began has released the service, has restarted, or has let that lease expire.
+///
+/// Under FencingPolicy::Platform nothing is granted and each withdrawal is complete immediately.
+class LeaseLedger
+{
+public:
+    /// Tells whether an entry may have a connection to the primary of the service that is withdrawn.
+    using CanUse = std::function<bool(const VmId &entry)>;
+
+    LeaseLedger(FencingPolicy policy, Duration leaseDuration);
+
+    [[nodiscard]] FencingPolicy policy() const;
+
+    /// Forgets all leases. Called when this control VM becomes the leader; former leaders may have granted leases until
+    /// \p now to entries that are unknown to it.
+    void reset(Instant now);
+
+    /// Grants or extends the lease of the run \p runId of \p entry. \returns the duration, to be counted by the entry
+    /// from the sending of its report; zero if the policy needs no leases.
+    Duration grant(Instant now, const VmId &entry, std::uint64_t runId);
+
+    /// Records the releases in a report of the run \p runId of \p entry. A release of another withdrawal is ignored.
+    /// \returns the number of ignored releases.
+    std::size_t recordReport(const VmId &entry, std::uint64_t runId, const std::vector<PrimaryWithdrawal> &released);
+
+    /// Begins the withdrawal \p id of \p service, unless one is in progress. Only entries for which \p canUse returns
+    /// true are waited for.
+    void withdraw(Instant now, const ServiceId &service, std::uint64_t id, const CanUse &canUse);
+
+    /// Ends the withdrawal of \p service; later grants cover it again.
+    void restore(const ServiceId &service);
+
+    [[nodiscard]] bool isWithdrawn(const ServiceId &service) const;
+
+    /// Tells whether no entry can use the primary of \p service. Requires a withdrawal in progress.
+    [[nodiscard]] bool isReleased(Instant now, const ServiceId &service) const;
+
+    /// Returns the entries that a withdrawal still waits for; an empty name stands for unknown entries.
+    [[nodiscard]] std::vector<VmId> outstanding(Instant now, const ServiceId &service) const;
+
+    [[nodiscard]] std::vector<PrimaryWithdrawal> withdrawals() const;
+
+private:
+    struct Lease {
+        std::uint64_t runId = 0;
+        Instant expiresAt {};
+    };
+
+    struct Withdrawal {
+        std::uint64_t id = 0;
+        std::map<VmId, Lease> holders; ///< Leases granted before the withdrawal that are not released.
+    };
+
+    FencingPolicy policy_;
+    Duration duration_;
+    Instant unknownUntil_ {}; ///< Leases of former leaders have expired by then.
+    std::map<VmId, Lease> leases_;
+    std::map<ServiceId, Withdrawal> withdrawals_;
+};
+
+} // namespace daisyrelay
--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/supervision/entryregistry.h"
+#include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/supervisionactions.h"
 #include "daisyrelay/telemetry.h"
 
@@ -14,14 +15,18 @@
 struct MonitorContext {
     const SupervisionState &state;
     const EntryRegistry &entries;
+    LeaseLedger &leases;
     const std::map<BackendId, Instant> &lastHeartbeatAt; ///< Time of the last heartbeat of each backend server.
     EventLog &log;
+    Metrics &metrics;
+    Term leaderTerm = 0;
     std::function<std::uint64_t()> nextId;
     std::function<void(SupervisionAction)> emit;
 };
 
 /// Monitors one service while this control VM is the leader. A promotion with an unknown outcome is superseded by one
-/// with a higher fencing token; it is never assumed to have failed.
+/// with a higher fencing token; it is never assumed to have failed. If the platform does not fence, no other server is
+/// promoted and no lease is granted while such a promotion may still be carried out.
 class PrimaryMonitor
 {
 public:
@@ -46,6 +51,7 @@
     enum class Stage : std::uint8_t {
         FindingPrimary, ///< No primary has been recorded yet.
         Monitoring,
+        Withdrawing, ///< Waits until no entry can use the primary. Skipped if the platform fences.
         Surveying,
         Proposing, ///< The promotion is proposed to the replicated log; the index of its entry becomes the fencing
                    ///< token.
@@ -55,11 +61,16 @@
 
     void findPrimary(Instant now, const MonitorContext &context);
     void monitor(Instant now, const MonitorContext &context);
-    void startSurvey(Instant now, const MonitorContext &context, std::string_view reason);
+    void startFailover(Instant now, const MonitorContext &context, std::string_view reason);
+    void awaitRelease(Instant now, const MonitorContext &context);
+    void stepDown(Instant now, const MonitorContext &context);
+    void startSurvey(Instant now, const MonitorContext &context);
     void finishSurvey(Instant now, const MonitorContext &context);
     void proposePromotion(Instant now, const MonitorContext &context);
     void awaitPrimaryRole(Instant now, const MonitorContext &context);
-    void retryAfter(Instant now, Duration delay);
+    void retryAfter(Instant now, Duration delay, const MonitorContext &context);
+    /// Returns the server that a promotion without a known outcome may still make the primary.
+    [[nodiscard]] std::optional<BackendId> candidateInDoubt(Instant now, const MonitorContext &context) const;
     void enterStage(Instant now, Stage stage);
     void probe(const MonitorContext &context, const BackendRecord &backend, ProbeKind kind, Duration timeout);
     void proposePrimary(Instant now, const MonitorContext &context, const BackendId &backend, std::string_view reason);
@@ -91,6 +102,10 @@
     std::uint64_t token_ = 0;
     Instant retryAt_ {};
     std::optional<ProbeResult> lastProbeResult_;
+    bool hasSteppedDown_ = false; ///< The primary has confirmed that it is a replica.
+    bool isCallInFlight_ = false; ///< The last promotion has no outcome yet, or has been accepted.
+    /// Earlier promotions without an outcome may be carried out until then. No value before the first tick.
+    std::optional<Instant> inDoubtUntil_;
 };
 
 } // namespace daisyrelay
--- a/include/daisyrelay/supervision/supervisionactions.h
+++ b/include/daisyrelay/supervision/supervisionactions.h
@@ -30,6 +30,7 @@
     Status, ///< Asks for the received position.
     Pause, ///< Like Status, and stops replication until the server is promoted or resumed.
     Resume,
+    StepDown, ///< Like Status, and makes a primary of a term below ProbeBackend::pauseTerm a replica.
 };
 
 /// Sends a probe to a backend server; exactly one ProbeOutcome follows.
@@ -37,14 +38,14 @@
     std::uint64_t probeId = 0;
     BackendRecord backend;
     ProbeKind kind = ProbeKind::Role;
-    Term pauseTerm = 0; ///< Term of a Pause: above every term seen so far.
+    Term pauseTerm = 0; ///< Term of a Pause or StepDown: above every term seen so far.
     Duration timeout {};
 };
 
 enum class ProbeResult : std::uint8_t {
     IsPrimary,
     IsReplica,
-    Responded, ///< Successful response to Status, Pause or Resume.
+    Responded, ///< Successful response to Status, Pause, Resume or StepDown.
     Refused, ///< The connection was refused, or another backend server responded.
     NoResponse, ///< The connection broke or the response did not arrive in time.
 };
@@ -54,6 +55,7 @@
     ProbeResult result = ProbeResult::NoResponse;
     Term term = 0; ///< Current term of the server.
     LogPoint received; ///< End of the server's log.
+    bool claimsPrimary = false; ///< Role in a response to Status, Pause, Resume or StepDown.
 };
 
 /// Calls the platform to promote a backend server; exactly one PromotionOutcome follows.
@@ -62,13 +64,14 @@
     BackendId backend;
     std::uint64_t fencingToken = 0;
     Duration timeout {};
+    Term leaderTerm = 0; ///< The call is made only while this VM is the leader of this term.
 };
 
 /// Outcome of a call to promote a backend server.
 enum class PromotionOutcome : std::uint8_t {
     Accepted,
     Rejected, ///< The backend server is not running, or a higher fencing token was used before.
-    RateLimited, ///< The platform received too many calls and did nothing.
+    RateLimited, ///< The platform received too many calls and did nothing, or the call was not made.
     Unknown, ///< No conclusive response: the promotion may still be carried out later.
 };
 
--- a/include/daisyrelay/supervision/supervisionstate.h
+++ b/include/daisyrelay/supervision/supervisionstate.h
@@ -27,6 +27,9 @@
     /// Returns null if \p service has no recorded primary.
     [[nodiscard]] const PrimaryRecord *primaryOf(const ServiceId &service) const;
 
+    /// Returns the promotion of \p service that may still be carried out, or null if there is none.
+    [[nodiscard]] const PrimaryRecord *pendingPromotionOf(const ServiceId &service) const;
+
     [[nodiscard]] const ServiceLimits *limitsOf(const ServiceId &service) const;
     [[nodiscard]] std::uint64_t topologyIndex() const;
     [[nodiscard]] Topology topology() const;
@@ -52,6 +55,7 @@
     std::uint64_t topologyIndex_ = 0;
     std::map<BackendId, BackendRecord> backends_;
     std::map<ServiceId, PrimaryRecord> primaries_;
+    std::map<ServiceId, PrimaryRecord> pendingPromotions_;
     std::deque<BackendRecord> removed_; ///< Last incarnations of removed backend servers, oldest first.
 };
 
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -32,6 +32,11 @@
     Duration promotionRetryDelay = std::chrono::milliseconds(150);
     /// An accepted promotion must take effect within this time.
     Duration promotionEffectTimeout = std::chrono::milliseconds(3000);
+    /// Duration of a lease on the primaries. Covers the loss of a control leader; an entry that cannot be reached
+    /// delays a failover by as long.
+    Duration primaryLease = std::chrono::milliseconds(3000);
+    /// A promotion without a response has been carried out by then, or never will be.
+    Duration maxPromotionDelay = std::chrono::seconds(10);
     /// How long to wait after a start until exactly one server claims the primary role.
     Duration adoptionTimeout = std::chrono::milliseconds(3000);
     /// A server silent for longer than this has missed three or more heartbeats and is not promoted.
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daisyrelay/supervision/entryregistry.h"
+#include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/primarymonitor.h"
 #include "daisyrelay/supervision/supervisionactions.h"
 #include "daisyrelay/supervision/supervisionstate.h"
@@ -18,7 +19,8 @@
 class Supervisor
 {
 public:
-    Supervisor(EventLog &log, Metrics &metrics, std::uint64_t firstId, SupervisionTiming timing = {});
+    Supervisor(EventLog &log, Metrics &metrics, std::uint64_t firstId, SupervisionTiming timing = {},
+        FencingPolicy fencing = FencingPolicy::Platform);
 
     /// Sets whether this VM is the leader and may respond, and its consensus term. Must be called with the current time
     /// before any other input, because the process may have been suspended in between.
@@ -77,6 +79,8 @@
     bool isPushDue_ = false;
     std::vector<VmId> controlVms_;
     EntryRegistry entries_;
+    LeaseLedger leases_;
+    std::uint64_t nextUpdateNumber_ = 1;
     std::map<BackendId, Instant> lastHeartbeatAt_;
     /// Start time and sequence of the last accepted heartbeat.
     std::map<BackendId, std::pair<std::int64_t, std::uint64_t>> lastHeartbeat_;
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -40,6 +40,20 @@
     }
 };
 
+/// Control withdraws the use of a service's primary from all entries before it promotes another server.
+struct PrimaryWithdrawal {
+    ServiceId service;
+    std::uint64_t id = 0; ///< Differs between withdrawals, also those of different leaders.
+
+    bool operator==(const PrimaryWithdrawal &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, id);
+    }
+};
+
 /// The heartbeat of an entry.
 struct EntryReport {
     std::string name;
@@ -53,12 +67,13 @@
     std::vector<ConnectionQuota> heldQuotas; ///< Upper bounds of the connections in use; only the entry lowers them.
     std::vector<ConnectionQuota> requestedQuotas; ///< Requested quotas where they differ from `heldQuotas`.
     std::vector<PrimaryObservation> primaries;
+    std::vector<PrimaryWithdrawal> released; ///< Withdrawals after which the entry no longer uses the primary.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(name, zone, runId, sequence, configVersion, topologyIndex, homesVersion, isLeaving, heldQuotas,
-            requestedQuotas, primaries);
+            requestedQuotas, primaries, released);
     }
 };
 
@@ -105,12 +120,18 @@
     std::uint64_t homesVersion = 0;
     std::optional<std::vector<BackendHomes>> homes; ///< Present if the entry has other homes.
     std::vector<ServiceId> failingOver; ///< Services whose primary is being replaced.
+    std::uint64_t number = 0; ///< Increases with each update of a leader to any entry; zero if it is not numbered.
+    std::uint64_t topologyIndex = 0; ///< Index of the leader's topology.
+    /// Duration of the lease on all primaries of that topology, counted from the sending of the report that the update
+    /// responds to. Zero if the update grants none.
+    std::chrono::milliseconds lease { 0 };
+    std::vector<PrimaryWithdrawal> withdrawn; ///< All current withdrawals; the lease does not cover these services.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers,
-            reportIntervalMs, homesVersion, homes, failingOver);
+            reportIntervalMs, homesVersion, homes, failingOver, number, topologyIndex, lease, withdrawn);
     }
 };
 
@@ -257,11 +278,13 @@
 struct RecordPrimary {
     ServiceId service;
     BackendId backend;
+    /// A promotion of the server whose outcome is unknown may still be carried out, and would make it the primary again.
+    bool isInDoubt = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, backend);
+        archive(service, backend, isInDoubt);
     }
 };
 
--- a/include/daisyrelay/wire/sessionstatement.h
+++ b/include/daisyrelay/wire/sessionstatement.h
@@ -24,6 +24,7 @@
     Status, ///< Requests role, term and position.
     Pause, ///< Stops a replica from receiving from primaries of lower terms.
     Resume,
+    StepDown, ///< Makes a primary of a lower term a replica.
 };
 
 /// A statement of a caller, or of the proxy itself if the id is empty.
@@ -34,7 +35,7 @@
     std::string name; ///< Set, Prepare, Execute, Deallocate: name of the value or of the prepared statement.
     std::string argument; ///< Set: the value. Prepare: the shape. Execute: the text after the name.
     bool preparesWrite = false; ///< Prepare: whether the prepared statement writes.
-    Term term = 0; ///< Pause: the lowest term whose primary the replica still follows.
+    Term term = 0; ///< Pause, StepDown: the lowest term whose primary the server still follows.
     std::optional<LogPoint>
         minPoint; ///< The backend server rejects the statement if its log has not reached this point.
 
@@ -79,7 +80,7 @@
     std::optional<LogPoint> position; ///< Log position of the backend server.
 };
 
-/// The response of a backend server to Status, Pause and Resume.
+/// The response of a backend server to Status, Pause, Resume and StepDown.
 struct BackendStatus {
     bool isPrimary = false;
     Term term = 0;
--- a/include/daisyrelay/wire/supervisionsnapshot.h
+++ b/include/daisyrelay/wire/supervisionsnapshot.h
@@ -17,13 +17,14 @@
     std::vector<BackendRecord> backends;
     std::vector<PrimaryRecord> primaries;
     std::vector<BackendRecord> removed; ///< Last incarnations of removed backend servers, oldest first.
+    std::vector<PrimaryRecord> pendingPromotions; ///< Decided promotions whose outcome is not recorded.
 
     bool operator==(const SupervisionSnapshot &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(configuration, configurationSource, topologyIndex, backends, primaries, removed);
+        archive(configuration, configurationSource, topologyIndex, backends, primaries, removed, pendingPromotions);
     }
 };
 
--- a/lib/config/nodesettings.cpp
+++ b/lib/config/nodesettings.cpp
@@ -66,7 +66,7 @@
     NodeSettings settings;
     if (!reader.checkMap(root, "",
             { "address", "name", "zone", "listen", "peer_port", "seeds", "founding", "data_folder", "tolerated",
-                "grace", "platform", "metrics_port", "log_budget", "reached_at" })) {
+                "grace", "platform", "platform_fences", "metrics_port", "log_budget", "reached_at" })) {
         return settings;
     }
     settings.id = VmId { reader.requireString(root, "address") };
@@ -80,6 +80,8 @@
         reader.fail(root["peer_port"], "peer_port", "is required");
     }
     settings.canBootstrap = reader.readBool(root, "founding", false);
+    settings.fencing
+        = reader.readBool(root, "platform_fences", false) ? FencingPolicy::Platform : FencingPolicy::Leases;
     settings.toleratedFailures = reader.readNumber(root, "tolerated", settings.toleratedFailures);
     settings.shutdownGrace = reader.readDuration(root, "grace", settings.shutdownGrace);
     settings.metricsPort = reader.readPort(root, "metrics_port", 0);
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -20,6 +20,12 @@
             handleLostResponse(now, session, "connection-lost");
             return;
         }
+        if (connection->needsLease && !canUsePrimary(now, pending.route->service)) {
+            connection->session = 0;
+            closeConnection(now, *pool, connection->id, ConnectionLoss::Broken);
+            handleLostResponse(now, session, "lease-ended");
+            return;
+        }
         sendStatement(now, session, *pool, *connection, std::nullopt);
         return;
     }
@@ -107,6 +113,9 @@
         reject(now, session, ResponseCode::WrongBackend, "not-a-home", timing_.busyBackoff);
         return Placement::Rejected;
     }
+    if (!canUsePrimary(now, session.pending->route->service)) {
+        return waitForLease(now, session, service);
+    }
     const bool isAvailable = pool != nullptr && pool->isUsable(now) && !pool->isUnresponsive(now);
     if (!isAvailable) {
         const std::optional<Instant> lastResponseAt = pool == nullptr ? std::nullopt : pool->lastResponseAt();
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -88,6 +88,9 @@
         exchange.statements.push_back(std::move(payload));
         connection.confirmsPrimary = pending.isWrite || (session.transaction && !session.transaction->isReadOnly);
     }
+    if (pending.role != PendingStatement::Role::Next) {
+        connection.needsLease = !minPoint;
+    }
     connection.purpose = BackendConnection::Purpose::Statement;
     connection.session = session.id;
     connection.deadline = std::max(pending.deadline, now + timing_.unresponsiveTimeout);
@@ -139,10 +142,11 @@
 {
     BackendPool *pool = findPool(service.primary.backend);
     BackendConnection *connection = pool == nullptr ? nullptr : pool->findIdle({});
-    if (connection == nullptr) {
+    if (connection == nullptr || !canUsePrimary(now, pool->record().service)) {
         return;
     }
     service.lastSampledAt = now;
+    connection->needsLease = true;
     connection->purpose = BackendConnection::Purpose::Sample;
     connection->deadline = now + timing_.connectTimeout;
     connection->session = 0;
@@ -157,6 +161,7 @@
 
 void ProxyCore::rollBackConnection(Instant now, BackendConnection &connection)
 {
+    connection.needsLease = false;
     connection.purpose = BackendConnection::Purpose::Cleanup;
     connection.session = 0;
     connection.deadline = now + timing_.connectTimeout;
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -95,7 +95,8 @@
         onStatementResponses(now, pool, connection, responses);
         return;
     }
-    if (connection.purpose == BackendConnection::Purpose::Sample && responses.front().code == ResponseCode::Ok) {
+    if (connection.purpose == BackendConnection::Purpose::Sample && responses.front().code == ResponseCode::Ok
+        && isLeaseValid(now, pool, connection)) {
         recordPosition(pool, connection, responses.front());
     }
     if (state != TransactionState::Idle) {
@@ -124,10 +125,15 @@
     BackendResponse &response = responses[connection.payloadIndex];
     const bool isAwaited = session != nullptr && session->pending && session->pending->connection == id;
     if (connection.awaitsBegin && response.code == ResponseCode::Ok) {
-        if (connection.confirmsPrimary) {
+        const bool isValid = isLeaseValid(now, pool, connection) && canUsePrimary(now, pool.record().service);
+        if (connection.confirmsPrimary && isValid) {
             recordPosition(pool, connection, response);
         }
-        if (isAwaited) {
+        if (isAwaited && connection.needsLease && !isValid) {
+            connection.session = 0;
+            rollBackConnection(now, connection);
+            retryStatement(now, *session, pool, ResponseCode::Busy);
+        } else if (isAwaited) {
             sendAfterBegin(now, *session, connection);
         } else {
             rollBackConnection(now, connection);
@@ -144,6 +150,12 @@
     if (response.code == ResponseCode::UnknownStatement) {
         connection.prepared.clear();
     }
+    if (response.code == ResponseCode::Ok && !isLeaseValid(now, pool, connection)) {
+        metrics_.add("answers_after_lease_total");
+        actions_.emplace_back(CloseBackendConnection { id });
+        onConnectionLost(now, id, ConnectionLoss::Broken);
+        return;
+    }
     if (response.code == ResponseCode::Ok && connection.confirmsPrimary) {
         recordPosition(pool, connection, response);
     }
--- /dev/null
+++ b/lib/proxy/primarylease.cpp
@@ -0,0 +1,110 @@
+#include "daisyrelay/proxy/primarylease.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+PrimaryLease::PrimaryLease(FencingPolicy policy) : policy_(policy)
+{
+}
+
+FencingPolicy PrimaryLease::policy() const
+{
+    return policy_;
+}
+
+void PrimaryLease::recordReport(Instant now, std::uint64_t sequence)
+{
+    constexpr std::size_t MaxSentReports = 64;
+    sentReports_.push_back({ sequence, now });
+    if (sentReports_.size() > MaxSentReports) {
+        sentReports_.pop_front();
+    }
+}
+
+bool PrimaryLease::extend(std::uint64_t sequence, Duration duration)
+{
+    const auto report = std::find_if(sentReports_.begin(), sentReports_.end(),
+        [sequence](const SentReport &sent) { return sent.sequence == sequence; });
+    if (report == sentReports_.end()) {
+        return false;
+    }
+    const Instant expiresAt = report->sentAt + duration;
+    if (expiresAt_ && expiresAt <= *expiresAt_) {
+        return false;
+    }
+    expiresAt_ = expiresAt;
+    return true;
+}
+
+std::vector<ServiceId> PrimaryLease::setWithdrawn(const std::vector<PrimaryWithdrawal> &withdrawals)
+{
+    std::vector<ServiceId> added;
+    std::map<ServiceId, Withdrawal> current;
+    for (const PrimaryWithdrawal &withdrawal : withdrawals) {
+        const auto known = withdrawals_.find(withdrawal.service);
+        if (known != withdrawals_.end() && known->second.id == withdrawal.id) {
+            current.emplace(*known);
+            continue;
+        }
+        current[withdrawal.service] = { withdrawal.id, false };
+        added.push_back(withdrawal.service);
+    }
+    withdrawals_ = std::move(current);
+    return added;
+}
+
+bool PrimaryLease::release(const ServiceId &service)
+{
+    const auto found = withdrawals_.find(service);
+    if (found == withdrawals_.end() || found->second.isReleased) {
+        return false;
+    }
+    found->second.isReleased = true;
+    return true;
+}
+
+bool PrimaryLease::isAlive(Instant now) const
+{
+    return policy_ == FencingPolicy::Platform || (expiresAt_ && now < *expiresAt_);
+}
+
+bool PrimaryLease::canSend(Instant now, const ServiceId &service) const
+{
+    return isAlive(now) && !withdrawals_.contains(service);
+}
+
+bool PrimaryLease::canDeliver(Instant now, const ServiceId &service) const
+{
+    const auto found = withdrawals_.find(service);
+    return isAlive(now) && (found == withdrawals_.end() || !found->second.isReleased);
+}
+
+bool PrimaryLease::isWithdrawn(const ServiceId &service) const
+{
+    return withdrawals_.contains(service);
+}
+
+std::vector<ServiceId> PrimaryLease::unreleased() const
+{
+    std::vector<ServiceId> services;
+    for (const auto &[service, withdrawal] : withdrawals_) {
+        if (!withdrawal.isReleased) {
+            services.push_back(service);
+        }
+    }
+    return services;
+}
+
+std::vector<PrimaryWithdrawal> PrimaryLease::released() const
+{
+    std::vector<PrimaryWithdrawal> list;
+    for (const auto &[service, withdrawal] : withdrawals_) {
+        if (withdrawal.isReleased) {
+            list.push_back({ service, withdrawal.id });
+        }
+    }
+    return list;
+}
+
+} // namespace daisyrelay
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -13,8 +13,14 @@
     return Names.at(static_cast<std::size_t>(code));
 }
 
-ProxyCore::ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase, ProxyTiming timing)
-    : zone_(std::move(zone)), log_(log), metrics_(metrics), timing_(timing), sessionIdBase_(sessionIdBase)
+ProxyCore::ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase, ProxyTiming timing,
+    FencingPolicy fencing)
+    : zone_(std::move(zone))
+    , log_(log)
+    , metrics_(metrics)
+    , timing_(timing)
+    , sessionIdBase_(sessionIdBase)
+    , lease_(fencing)
 {
 }
 
@@ -108,6 +114,7 @@
     report.topologyIndex = topology_.index;
     report.homesVersion = homesVersion_;
     report.isLeaving = drainStartedAt_.has_value();
+    report.released = lease_.released();
     for (const auto &[id, pool] : pools_) {
         const auto openCount = static_cast<std::uint32_t>(pool.openCount());
         if (const std::uint32_t heldCount = std::max(pool.quota(), openCount); heldCount > 0) {
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -30,6 +30,7 @@
     case StatementType::Status:
     case StatementType::Pause:
     case StatementType::Resume:
+    case StatementType::StepDown:
         respondLocally(*session, ResponseCode::BadMessage, "not for callers");
         break;
     case StatementType::Begin:
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -15,6 +15,7 @@
         }
     }
     checkOpeningSessions(now);
+    releaseWithdrawn(now);
     checkPendingStatements(now);
     checkConnections(now);
     constexpr Duration IdleCheckInterval = std::chrono::milliseconds(100);
@@ -232,7 +233,7 @@
         unresponsiveCount += isLocal && (!lastResponseAt || now - *lastResponseAt > timing_.isolationTimeout) ? 1 : 0;
     }
     const bool isIsolated = lastControlUpdateAt_ && now - *lastControlUpdateAt_ > timing_.isolationTimeout
-        && localCount > 0 && 2 * unresponsiveCount > localCount;
+        && ((localCount > 0 && 2 * unresponsiveCount > localCount) || !lease_.isAlive(now));
     if (isIsolated != isolatedSince_.has_value()) {
         log_.log(now, isIsolated ? "entry.isolated" : "entry.reconnected",
             { { "control_silent_ms", now - *lastControlUpdateAt_ },
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -17,6 +17,9 @@
 
 void ProxyCore::onControlUpdate(Instant now, const EntryUpdate &update)
 {
+    if (isOutdated(update)) {
+        return;
+    }
     lastControlUpdateAt_ = now;
     if (update.configuration) {
         applyConfiguration(now, *update.configuration);
@@ -46,6 +49,7 @@
     for (const ServiceId &service : update.failingOver) {
         serviceOf(service).isFailingOver = true;
     }
+    applyLease(now, update);
     checkOpeningSessions(now);
     for (auto &[id, service] : services_) {
         dispatch(now, id);
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -16,7 +16,7 @@
 
 ControlNode::ControlNode(NodeContext &context)
     : context_(context)
-    , supervisor_(context.log, context.metrics, drawRandomNumber())
+    , supervisor_(context.log, context.metrics, drawRandomNumber(), {}, context.settings.fencing)
     , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
           [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); })
     , probes_(context.io, context.platform,
@@ -293,6 +293,15 @@
                 onResult(std::nullopt);
                 return;
             }
+            // Another leader may have been elected while this VM was suspended or connecting.
+            if (const Instant now = Clock::now(); !isLeader(now) || raft_->core().term() != promotion.leaderTerm) {
+                context_.log.log(now, "promotion.abandoned",
+                    { { "service", std::string_view(promotion.service.value) }, { "token", promotion.fencingToken } });
+                connection->close();
+                supervisor_.onPromotion(now, promotion.service, promotion.fencingToken, PromotionOutcome::RateLimited);
+                runPendingActions(now);
+                return;
+            }
             const HttpRequest request = context_.platform.encodePromotionRequest(promotion, context_.settings.name);
             connection->request(request, promotion.timeout,
                 [connection, onResult](const std::optional<HttpResponse> &response) { onResult(response); });
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -18,7 +18,7 @@
 EntryNode::EntryNode(NodeContext &context)
     : context_(context)
     , runId_(drawRandomNumber())
-    , core_(context.settings.zone, context.log, context.metrics, runId_)
+    , core_(context.settings.zone, context.log, context.metrics, runId_, {}, context.settings.fencing)
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
     , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
@@ -139,6 +139,8 @@
                 backends_.close(end->connection);
             } else if (auto *outgoing = std::get_if<SendToEntry>(&action); outgoing != nullptr) {
                 std::visit([&](auto &message) { peers_.send(outgoing->to, std::move(message)); }, outgoing->message);
+            } else if (std::holds_alternative<SendReportNow>(action)) {
+                sendReport(Clock::now());
             }
         }
     }
@@ -220,6 +222,7 @@
     report.runId = runId_;
     report.sequence = ++sequence_;
     core_.fillReport(now, report);
+    core_.recordReport(now, report.sequence);
     peers_.send(controlVm_, std::move(report));
 }
 
--- a/lib/runtime/probeclient.cpp
+++ b/lib/runtime/probeclient.cpp
@@ -85,6 +85,10 @@
     case ProbeKind::Resume:
         statement.type = StatementType::Resume;
         break;
+    case ProbeKind::StepDown:
+        statement.type = StatementType::StepDown;
+        statement.term = state.probe->pauseTerm;
+        break;
     }
     exchange.statements.push_back(std::move(statement));
     connections_.runExchange(exchange);
@@ -113,6 +117,7 @@
             outcome.result = ProbeResult::Responded;
             outcome.term = status->term;
             outcome.received = status->received;
+            outcome.claimsPrimary = status->isPrimary;
         }
     }
     finishProbe(backend, outcome, responses.back().state == TransactionState::Idle);
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -274,6 +274,16 @@
     return changes;
 }
 
+bool EntryRegistry::mayConnect(const VmId &entry, const BackendId &backend) const
+{
+    const auto session = sessions_.find(entry);
+    if (session == sessions_.end()) {
+        return true;
+    }
+    const auto granted = session->second.granted.find(backend);
+    return granted != session->second.granted.end() && granted->second > 0;
+}
+
 bool EntryRegistry::isConfirmedPrimary(Instant since, const ServiceId &service, const BackendId &backend) const
 {
     return std::any_of(sessions_.begin(), sessions_.end(), [&](const auto &entry) {
--- /dev/null
+++ b/lib/supervision/leaseledger.cpp
@@ -0,0 +1,111 @@
+#include "daisyrelay/supervision/leaseledger.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+/// Added to the duration of a lease on the side of control, since clocks of two VMs differ in rate.
+static constexpr Duration ClockDriftMargin = std::chrono::milliseconds(50);
+
+LeaseLedger::LeaseLedger(FencingPolicy policy, Duration leaseDuration) : policy_(policy), duration_(leaseDuration)
+{
+}
+
+FencingPolicy LeaseLedger::policy() const
+{
+    return policy_;
+}
+
+void LeaseLedger::reset(Instant now)
+{
+    leases_.clear();
+    withdrawals_.clear();
+    unknownUntil_ = now + duration_ + ClockDriftMargin;
+}
+
+Duration LeaseLedger::grant(Instant now, const VmId &entry, std::uint64_t runId)
+{
+    if (policy_ == FencingPolicy::Platform) {
+        return Duration::zero();
+    }
+    leases_[entry] = { runId, now + duration_ + ClockDriftMargin };
+    return duration_;
+}
+
+std::size_t LeaseLedger::recordReport(
+    const VmId &entry, std::uint64_t runId, const std::vector<PrimaryWithdrawal> &released)
+{
+    for (auto &[service, withdrawal] : withdrawals_) {
+        const auto holder = withdrawal.holders.find(entry);
+        // The process that held the lease has ended, and its connections with it.
+        if (holder != withdrawal.holders.end() && holder->second.runId != runId) {
+            withdrawal.holders.erase(holder);
+        }
+    }
+    std::size_t ignoredCount = 0;
+    for (const PrimaryWithdrawal &release : released) {
+        const auto found = withdrawals_.find(release.service);
+        if (found == withdrawals_.end() || found->second.id != release.id) {
+            ++ignoredCount;
+            continue;
+        }
+        found->second.holders.erase(entry);
+    }
+    return ignoredCount;
+}
+
+void LeaseLedger::withdraw(Instant now, const ServiceId &service, std::uint64_t id, const CanUse &canUse)
+{
+    if (withdrawals_.contains(service)) {
+        return;
+    }
+    Withdrawal withdrawal { id, {} };
+    for (const auto &[entry, lease] : leases_) {
+        if (lease.expiresAt > now && canUse(entry)) {
+            withdrawal.holders.emplace(entry, lease);
+        }
+    }
+    withdrawals_.emplace(service, std::move(withdrawal));
+}
+
+void LeaseLedger::restore(const ServiceId &service)
+{
+    withdrawals_.erase(service);
+}
+
+bool LeaseLedger::isWithdrawn(const ServiceId &service) const
+{
+    return withdrawals_.contains(service);
+}
+
+bool LeaseLedger::isReleased(Instant now, const ServiceId &service) const
+{
+    return policy_ == FencingPolicy::Platform || (withdrawals_.contains(service) && outstanding(now, service).empty());
+}
+
+std::vector<VmId> LeaseLedger::outstanding(Instant now, const ServiceId &service) const
+{
+    std::vector<VmId> entries;
+    if (now < unknownUntil_) {
+        entries.emplace_back();
+    }
+    if (const auto found = withdrawals_.find(service); found != withdrawals_.end()) {
+        for (const auto &[entry, lease] : found->second.holders) {
+            if (now < lease.expiresAt) {
+                entries.push_back(entry);
+            }
+        }
+    }
+    return entries;
+}
+
+std::vector<PrimaryWithdrawal> LeaseLedger::withdrawals() const
+{
+    std::vector<PrimaryWithdrawal> list;
+    for (const auto &[service, withdrawal] : withdrawals_) {
+        list.push_back({ service, withdrawal.id });
+    }
+    return list;
+}
+
+} // namespace daisyrelay
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -22,6 +22,11 @@
 
 void PrimaryMonitor::tick(Instant now, const MonitorContext &context)
 {
+    if (!inDoubtUntil_) {
+        // A former leader may have made the call up to the moment at which this one was elected.
+        const bool isPending = context.state.pendingPromotionOf(service_) != nullptr;
+        inDoubtUntil_ = isPending ? createdAt_ + timing_.maxPromotionDelay : Instant {};
+    }
     switch (stage_) {
     case Stage::FindingPrimary:
         findPrimary(now, context);
@@ -29,12 +34,15 @@
     case Stage::Monitoring:
         monitor(now, context);
         break;
+    case Stage::Withdrawing:
+        awaitRelease(now, context);
+        break;
     case Stage::Surveying:
         finishSurvey(now, context);
         break;
     case Stage::Proposing:
         if (now - enteredAt_ > timing_.commitTimeout) {
-            retryAfter(now, Duration::zero());
+            retryAfter(now, Duration::zero(), context);
         }
         break;
     case Stage::Promoting:
@@ -52,9 +60,12 @@
     probes_.clear();
 }
 
-void PrimaryMonitor::retryAfter(Instant now, Duration delay)
+void PrimaryMonitor::retryAfter(Instant now, Duration delay, const MonitorContext &context)
 {
     retryAt_ = now + delay;
+    if (!candidateInDoubt(now, context)) {
+        context.leases.restore(service_);
+    }
     // A confirmation of the primary during the delay cancels an unnecessary replacement.
     enterStage(now, Stage::Monitoring);
 }
@@ -77,7 +88,7 @@
     context.log.log(now, "primary.found",
         { { "service", std::string_view(service_.value) }, { "backend", std::string_view(backend.value) },
             { "reason", reason } });
-    context.emit(ProposeSupervision { RecordPrimary { service_, backend } });
+    context.emit(ProposeSupervision { RecordPrimary { service_, backend, now < inDoubtUntil_.value_or(Instant {}) } });
 }
 
 void PrimaryMonitor::findPrimary(Instant now, const MonitorContext &context)
@@ -97,7 +108,7 @@
     if (claimants.size() == 1) {
         proposePrimary(now, context, claimants.front()->id, "it says so");
     } else if (now - createdAt_ > timing_.adoptionTimeout) {
-        startSurvey(now, context, claimants.empty() ? "none-claims" : "several-claim");
+        startFailover(now, context, claimants.empty() ? "none-claims" : "several-claim");
     }
 }
 
@@ -136,6 +147,17 @@
         enterStage(now, Stage::FindingPrimary);
         return;
     }
+    const std::optional<BackendId> inDoubt = candidateInDoubt(now, context);
+    if (inDoubt && *inDoubt != primary->backend) {
+        if (now >= retryAt_) {
+            startFailover(now, context, "in-doubt");
+        }
+        return;
+    }
+    if (!inDoubt && context.leases.policy() == FencingPolicy::Leases
+        && context.state.pendingPromotionOf(service_) != nullptr) {
+        proposePrimary(now, context, primary->backend, "settled");
+    }
     const BackendRecord *backend = context.state.find(primary->backend);
     if (backend != nullptr && probes_.empty() && now - probedAt_ >= timing_.probeInterval) {
         probedAt_ = now;
@@ -145,6 +167,13 @@
     if (failure.empty() || now < retryAt_) {
         return;
     }
+    if (inDoubt) {
+        // The promotion in doubt would depose any other server.
+        context.log.log(now, "failover.delayed",
+            { { "service", std::string_view(service_.value) }, { "primary", std::string_view(primary->backend.value) },
+                { "reason", failure }, { "for_ms", inDoubtUntil_.value_or(now) - now } });
+        return;
+    }
     // A promotion with an unknown outcome may have succeeded. The new primary is then found by the role that it claims.
     if (failure == "deposed") {
         for (const auto &[id, other] : context.state.backends()) {
@@ -156,7 +185,7 @@
             }
         }
     }
-    startSurvey(now, context, failure);
+    startFailover(now, context, failure);
 }
 
 std::vector<const BackendRecord *> PrimaryMonitor::replicas(
@@ -183,7 +212,7 @@
     return limits != nullptr && limits->syncReplicas > 0;
 }
 
-void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context, std::string_view reason)
+void PrimaryMonitor::startFailover(Instant now, const MonitorContext &context, std::string_view reason)
 {
     const PrimaryRecord *primary = context.state.primaryOf(service_);
     const std::vector<const BackendRecord *> candidates
@@ -191,7 +220,7 @@
     const bool isPlanned = reason == "draining";
     const bool hasStayingCandidate = std::any_of(
         candidates.begin(), candidates.end(), [](const BackendRecord *backend) { return !backend->isDraining; });
-    if (candidates.empty() || (isPlanned && !hasStayingCandidate)) {
+    if (!candidateInDoubt(now, context) && (candidates.empty() || (isPlanned && !hasStayingCandidate))) {
         retryAt_ = now + timing_.promotionRetryDelay;
         return;
     }
@@ -199,6 +228,23 @@
         { { "service", std::string_view(service_.value) },
             { "primary", std::string_view(primary == nullptr ? "" : primary->backend.value) }, { "reason", reason },
             { "proof_age_ms", now - confirmedAt_ }, { "candidates", std::uint64_t { candidates.size() } } });
+    if (context.leases.policy() == FencingPolicy::Platform) {
+        startSurvey(now, context);
+        return;
+    }
+    hasSteppedDown_ = false;
+    context.leases.withdraw(now, service_, context.nextId(),
+        [&](const VmId &entry) { return primary == nullptr || context.entries.mayConnect(entry, primary->backend); });
+    enterStage(now, Stage::Withdrawing);
+    stepDown(now, context);
+    awaitRelease(now, context);
+}
+
+void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const std::vector<const BackendRecord *> candidates
+        = replicas(now, context, primary == nullptr ? BackendId {} : primary->backend);
     enterStage(now, Stage::Surveying);
     surveyed_.clear();
     surveyOutcomes_.clear();
@@ -227,6 +273,10 @@
         // Ranks draining servers last, because they would have to be replaced again.
         best = best == nullptr || rank(*backend) > rank(*best) ? backend : best;
     }
+    if (const std::optional<BackendId> inDoubt = candidateInDoubt(now, context); inDoubt) {
+        // Any other server could lose the role to this one at any time.
+        best = context.state.find(*inDoubt);
+    }
     const bool haveAllResponded = std::all_of(surveyed_.begin(), surveyed_.end(), [this](const BackendId &id) {
         const auto found = surveyOutcomes_.find(id);
         return found != surveyOutcomes_.end() && found->second.result == ProbeResult::Responded;
@@ -235,98 +285,13 @@
         context.log.log(now, "failover.no-candidate",
             { { "service", std::string_view(service_.value) }, { "answered", std::uint64_t { surveyOutcomes_.size() } },
                 { "asked", std::uint64_t { surveyed_.size() } } });
-        retryAfter(now, timing_.promotionRetryDelay);
+        retryAfter(now, timing_.promotionRetryDelay, context);
         return;
     }
     candidate_ = best->id;
     proposePromotion(now, context);
 }
 
-void PrimaryMonitor::proposePromotion(Instant now, const MonitorContext &context)
-{
-    enterStage(now, Stage::Proposing);
-    proposalId_ = context.nextId();
-    context.emit(ProposeSupervision { DecidePromotion { service_, candidate_, proposalId_ } });
-}
-
-bool PrimaryMonitor::onPromotionCommitted(
-    Instant now, const DecidePromotion &decision, std::uint64_t index, const MonitorContext &context)
-{
-    if (stage_ != Stage::Proposing || decision.service != service_ || decision.proposalId != proposalId_) {
-        return false;
-    }
-    token_ = index;
-    enterStage(now, Stage::Promoting);
-    const auto outcome = surveyOutcomes_.find(candidate_);
-    context.log.log(now, "failover.promote",
-        { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
-            { "token", token_ },
-            { "position", outcome == surveyOutcomes_.end() ? 0 : outcome->second.received.position },
-            { "term", outcome == surveyOutcomes_.end() ? 0 : outcome->second.received.term } });
-    context.emit(PromoteThroughPlatform { service_, candidate_, token_, timing_.promotionCallTimeout });
-    return true;
-}
-
-bool PrimaryMonitor::onPromotion(
-    Instant now, std::uint64_t token, PromotionOutcome outcome, const MonitorContext &context)
-{
-    if (stage_ != Stage::Promoting || token != token_) {
-        return false;
-    }
-    static constexpr std::array<std::string_view, 4> Names { "accepted", "rejected", "not-now", "unknown" };
-    context.log.log(now, "failover.answer",
-        { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
-            { "token", token_ }, { "outcome", Names.at(static_cast<std::size_t>(outcome)) },
-            { "took_ms", now - enteredAt_ } });
-    switch (outcome) {
-    case PromotionOutcome::Accepted:
-        enterStage(now, Stage::AwaitingRole);
-        break;
-    case PromotionOutcome::Unknown:
-        // The promotion may still be carried out; a higher token fences it off.
-        proposePromotion(now, context);
-        break;
-    case PromotionOutcome::Rejected:
-    case PromotionOutcome::RateLimited:
-        retryAfter(now, timing_.promotionRetryDelay);
-        break;
-    }
-    return true;
-}
-
-void PrimaryMonitor::awaitPrimaryRole(Instant now, const MonitorContext &context)
-{
-    const PrimaryRecord *primary = context.state.primaryOf(service_);
-    const BackendRecord *backend = context.state.find(candidate_);
-    if (primary != nullptr && primary->backend == candidate_) {
-        confirmedAt_ = now;
-        reportsCountFrom_ = now;
-        deposedSince_.reset();
-        refusedSince_.reset();
-        unreachableSince_.reset();
-        retryAt_ = now + timing_.deposedTimeout;
-        context.log.log(now, "failover.end",
-            { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
-                { "took_ms", now - enteredAt_ } });
-        for (const BackendId &replicaId : surveyed_) {
-            if (const BackendRecord *other = context.state.find(replicaId);
-                other != nullptr && mustPauseReplication(context)) {
-                context.emit(ProbeBackend { context.nextId(), *other, ProbeKind::Resume, 0, timing_.surveyTimeout });
-            }
-        }
-        enterStage(now, Stage::Monitoring);
-        return;
-    }
-    if (backend == nullptr || now - enteredAt_ > timing_.promotionEffectTimeout) {
-        retryAfter(now, Duration::zero());
-        return;
-    }
-    if (probes_.empty() && now - probedAt_ >= timing_.promotedProbeInterval) {
-        probedAt_ = now;
-        probe(context, *backend, ProbeKind::Role, timing_.probeTimeout);
-    }
-}
-
 void PrimaryMonitor::logProbeResult(
     Instant now, const BackendId &backend, ProbeResult result, const MonitorContext &context)
 {
@@ -351,6 +316,13 @@
     const BackendId backend = found->second;
     probes_.erase(found);
     highestTerm_ = std::max(highestTerm_, outcome.term);
+    if (stage_ == Stage::Withdrawing) {
+        if (outcome.result == ProbeResult::Responded && !outcome.claimsPrimary) {
+            hasSteppedDown_ = true;
+            awaitRelease(now, context);
+        }
+        return true;
+    }
     if (stage_ == Stage::Surveying) {
         surveyOutcomes_[backend] = outcome;
         if (probes_.empty()) {
--- /dev/null
+++ b/lib/supervision/primarypromotion.cpp
@@ -0,0 +1,142 @@
+// The steps of a failover that must not overlap with the use of the former primary: release, promotion, confirmation.
+#include "daisyrelay/supervision/primarymonitor.h"
+
+#include <array>
+
+namespace daisyrelay {
+
+// A primary that confirms its new role commits nothing any more, whatever entries still hold.
+void PrimaryMonitor::stepDown(Instant now, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const BackendRecord *backend = primary == nullptr ? nullptr : context.state.find(primary->backend);
+    if (backend != nullptr && candidateInDoubt(now, context) != primary->backend) {
+        probedAt_ = now;
+        probe(context, *backend, ProbeKind::StepDown, timing_.surveyTimeout);
+    }
+}
+
+void PrimaryMonitor::awaitRelease(Instant now, const MonitorContext &context)
+{
+    const bool isReleased = context.leases.isReleased(now, service_);
+    if (!isReleased && !hasSteppedDown_) {
+        if (probes_.empty() && now - probedAt_ >= timing_.probeInterval) {
+            stepDown(now, context);
+        }
+        return;
+    }
+    context.metrics.add(isReleased ? "withdrawals_total{by=\"release\"}" : "withdrawals_total{by=\"step-down\"}");
+    context.log.log(now, "failover.released",
+        { { "service", std::string_view(service_.value) }, { "took_ms", now - enteredAt_ },
+            { "stepped_down", hasSteppedDown_ },
+            { "outstanding", std::uint64_t { context.leases.outstanding(now, service_).size() } } });
+    startSurvey(now, context);
+}
+
+std::optional<BackendId> PrimaryMonitor::candidateInDoubt(Instant now, const MonitorContext &context) const
+{
+    if (context.leases.policy() == FencingPolicy::Platform) {
+        return std::nullopt;
+    }
+    const PrimaryRecord *pending = context.state.pendingPromotionOf(service_);
+    if (pending == nullptr || context.state.find(pending->backend) == nullptr) {
+        return std::nullopt;
+    }
+    return isCallInFlight_ || now < inDoubtUntil_.value_or(Instant {}) ? std::optional(pending->backend) : std::nullopt;
+}
+
+void PrimaryMonitor::proposePromotion(Instant now, const MonitorContext &context)
+{
+    enterStage(now, Stage::Proposing);
+    proposalId_ = context.nextId();
+    context.emit(ProposeSupervision { DecidePromotion { service_, candidate_, proposalId_ } });
+}
+
+bool PrimaryMonitor::onPromotionCommitted(
+    Instant now, const DecidePromotion &decision, std::uint64_t index, const MonitorContext &context)
+{
+    if (stage_ != Stage::Proposing || decision.service != service_ || decision.proposalId != proposalId_) {
+        return false;
+    }
+    token_ = index;
+    enterStage(now, Stage::Promoting);
+    const auto outcome = surveyOutcomes_.find(candidate_);
+    context.log.log(now, "failover.promote",
+        { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
+            { "token", token_ },
+            { "position", outcome == surveyOutcomes_.end() ? 0 : outcome->second.received.position },
+            { "term", outcome == surveyOutcomes_.end() ? 0 : outcome->second.received.term } });
+    isCallInFlight_ = true;
+    context.emit(
+        PromoteThroughPlatform { service_, candidate_, token_, timing_.promotionCallTimeout, context.leaderTerm });
+    return true;
+}
+
+bool PrimaryMonitor::onPromotion(
+    Instant now, std::uint64_t token, PromotionOutcome outcome, const MonitorContext &context)
+{
+    if (stage_ != Stage::Promoting || token != token_) {
+        return false;
+    }
+    static constexpr std::array<std::string_view, 4> Names { "accepted", "rejected", "not-now", "unknown" };
+    context.log.log(now, "failover.answer",
+        { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
+            { "token", token_ }, { "outcome", Names.at(static_cast<std::size_t>(outcome)) },
+            { "took_ms", now - enteredAt_ } });
+    switch (outcome) {
+    case PromotionOutcome::Accepted:
+        enterStage(now, Stage::AwaitingRole);
+        break;
+    case PromotionOutcome::Unknown:
+        // The promotion may still be carried out; a higher token fences it off.
+        isCallInFlight_ = false;
+        inDoubtUntil_ = now + timing_.maxPromotionDelay;
+        proposePromotion(now, context);
+        break;
+    case PromotionOutcome::Rejected:
+    case PromotionOutcome::RateLimited:
+        isCallInFlight_ = false;
+        retryAfter(now, timing_.promotionRetryDelay, context);
+        break;
+    }
+    return true;
+}
+
+void PrimaryMonitor::awaitPrimaryRole(Instant now, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const BackendRecord *backend = context.state.find(candidate_);
+    if (primary != nullptr && primary->backend == candidate_) {
+        confirmedAt_ = now;
+        reportsCountFrom_ = now;
+        deposedSince_.reset();
+        refusedSince_.reset();
+        unreachableSince_.reset();
+        retryAt_ = now + timing_.deposedTimeout;
+        context.log.log(now, "failover.end",
+            { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
+                { "took_ms", now - enteredAt_ } });
+        for (const BackendId &replicaId : surveyed_) {
+            if (const BackendRecord *other = context.state.find(replicaId);
+                other != nullptr && mustPauseReplication(context)) {
+                context.emit(ProbeBackend { context.nextId(), *other, ProbeKind::Resume, 0, timing_.surveyTimeout });
+            }
+        }
+        isCallInFlight_ = false;
+        context.leases.restore(service_);
+        enterStage(now, Stage::Monitoring);
+        return;
+    }
+    if (backend == nullptr || now - enteredAt_ > timing_.promotionEffectTimeout) {
+        isCallInFlight_ = false;
+        inDoubtUntil_ = now + timing_.maxPromotionDelay;
+        retryAfter(now, Duration::zero(), context);
+        return;
+    }
+    if (probes_.empty() && now - probedAt_ >= timing_.promotedProbeInterval) {
+        probedAt_ = now;
+        probe(context, *backend, ProbeKind::Role, timing_.probeTimeout);
+    }
+}
+
+} // namespace daisyrelay
--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -63,13 +63,19 @@
     return true;
 }
 
-bool SupervisionState::applyCommand(std::uint64_t /*index*/, const DecidePromotion & /*command*/)
+bool SupervisionState::applyCommand(std::uint64_t index, const DecidePromotion &command)
 {
+    pendingPromotions_[command.service] = { command.service, command.backend, index };
     return false;
 }
 
 bool SupervisionState::applyCommand(std::uint64_t index, const RecordPrimary &command)
 {
+    if (command.isInDoubt) {
+        pendingPromotions_[command.service] = { command.service, command.backend, index };
+    } else {
+        pendingPromotions_.erase(command.service);
+    }
     PrimaryRecord &primary = primaries_[command.service];
     if (primary.backend == command.backend) {
         return false;
@@ -132,6 +138,12 @@
     return found == primaries_.end() ? nullptr : &found->second;
 }
 
+const PrimaryRecord *SupervisionState::pendingPromotionOf(const ServiceId &service) const
+{
+    const auto found = pendingPromotions_.find(service);
+    return found == pendingPromotions_.end() ? nullptr : &found->second;
+}
+
 const ServiceLimits *SupervisionState::limitsOf(const ServiceId &service) const
 {
     const auto found = std::find_if(configuration_.services.begin(), configuration_.services.end(),
@@ -159,11 +171,14 @@
 
 std::string SupervisionState::encode() const
 {
-    SupervisionSnapshot snapshot { configuration_, configurationSource_, topologyIndex_, {}, {}, {} };
+    SupervisionSnapshot snapshot { configuration_, configurationSource_, topologyIndex_, {}, {}, {}, {} };
     const Topology current = topology();
     snapshot.backends = current.backends;
     snapshot.primaries = current.primaries;
     snapshot.removed.assign(removed_.begin(), removed_.end());
+    for (const auto &[service, promotion] : pendingPromotions_) {
+        snapshot.pendingPromotions.push_back(promotion);
+    }
     return encodeSupervisionSnapshot(snapshot);
 }
 
@@ -184,6 +199,9 @@
         state.primaries_.emplace(primary.service, std::move(primary));
     }
     state.removed_.assign(snapshot->removed.begin(), snapshot->removed.end());
+    for (PrimaryRecord &promotion : snapshot->pendingPromotions) {
+        state.pendingPromotions_.emplace(promotion.service, std::move(promotion));
+    }
     return state;
 }
 
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -4,8 +4,14 @@
 
 namespace daisyrelay {
 
-Supervisor::Supervisor(EventLog &log, Metrics &metrics, std::uint64_t firstId, SupervisionTiming timing)
-    : log_(log), metrics_(metrics), timing_(timing), entries_(timing), nextId_(firstId)
+Supervisor::Supervisor(
+    EventLog &log, Metrics &metrics, std::uint64_t firstId, SupervisionTiming timing, FencingPolicy fencing)
+    : log_(log)
+    , metrics_(metrics)
+    , timing_(timing)
+    , entries_(timing)
+    , leases_(fencing, timing.primaryLease)
+    , nextId_(firstId)
 {
 }
 
@@ -26,6 +32,7 @@
     metrics_.add("leaderships_total");
     // Another leader may have granted quotas and promoted servers in the meantime, so earlier knowledge is discarded.
     entries_.reset(now);
+    leases_.reset(now);
     lastHeartbeatAt_.clear();
     lastHeartbeat_.clear();
     monitors_.clear();
@@ -35,7 +42,7 @@
 
 MonitorContext Supervisor::context()
 {
-    return { state_, entries_, lastHeartbeatAt_, log_, [this]() { return nextId_++; },
+    return { state_, entries_, leases_, lastHeartbeatAt_, log_, metrics_, term_, [this]() { return nextId_++; },
         [this](SupervisionAction action) { actions_.push_back(std::move(action)); } };
 }
 
@@ -117,6 +124,9 @@
         metrics_.add("reports_outdated_total");
         return;
     }
+    if (const std::size_t ignored = leases_.recordReport(entry, report.runId, report.released); ignored > 0) {
+        metrics_.add("releases_ignored_total", ignored);
+    }
     pushUpdate(now, entry, true);
 }
 
@@ -214,7 +224,12 @@
         session.topologySent = topologyIndex;
         session.topologySentAt = now;
     }
+    update.number = nextUpdateNumber_++;
+    update.topologyIndex = topologyIndex;
+    update.withdrawn = leases_.withdrawals();
     if (isResponse) {
+        update.lease
+            = std::chrono::duration_cast<std::chrono::milliseconds>(leases_.grant(now, entry, session.report.runId));
         update.quotas = entries_.grantQuotas(now, entry, state_);
         update.controlVms = controlVms_;
         update.peers = entries_.peersFor(now, entry);
--- /dev/null
+++ b/unittests/fencing/fencingsimulation.cpp
@@ -0,0 +1,485 @@
+#include "fencingsimulation.h"
+
+#include <algorithm>
+
+namespace daisyrelay {
+
+using namespace std::chrono_literals;
+
+static const ServiceId Service { "s" };
+static constexpr Duration NetworkDelay = 2ms;
+static constexpr Duration ElectionDelay = 500ms;
+static constexpr SessionId WriteSession = 1;
+static constexpr SessionId ReadSession = 2;
+
+FencingSimulation::FencingSimulation(bool platformFences, FencingPolicy policy, std::uint64_t seed)
+    : policy_(policy)
+    , random_(seed)
+    , platform_(
+          platformFences, [this](Duration delay, std::function<void()> action) { schedule(delay, std::move(action)); },
+          seed)
+{
+    for (const char *name : { "c0", "c1" }) {
+        auto control = std::make_unique<Control>();
+        control->name = name;
+        control->supervisor = std::make_unique<Supervisor>(
+            log_, metrics_, controls_.size() * 1000000 + 1, SupervisionTiming {}, policy);
+        controls_.push_back(std::move(control));
+    }
+    for (const char *name : { "e0", "e1", "e2" }) {
+        auto entry = std::make_unique<Entry>();
+        entry->name = name;
+        entry->core = std::make_unique<ProxyCore>(
+            ZoneId { name }, log_, metrics_, 1000 * (vms_.size() + 1), ProxyTiming {}, policy);
+        entry->core->onSessionOpened(now_, WriteSession, "db");
+        entry->core->onSessionOpened(now_, ReadSession, "db");
+        vms_.push_back(std::move(entry));
+    }
+    elect();
+    PutConfiguration change;
+    change.configuration.version = 1;
+    change.configuration.services.push_back({ Service, 16, 0 });
+    DatabaseRoute route;
+    route.database = "db";
+    route.service = Service;
+    route.guarantee = ReadGuarantee::Primary;
+    route.timeout = 1500ms;
+    route.latencyTarget = 200ms;
+    change.configuration.routes.push_back(route);
+    controls_.front()->supervisor->onRequest(now_, 1, change);
+    performControlActions(*controls_.front());
+}
+
+const std::string &FencingSimulation::violation() const
+{
+    return platform_.violation.empty() ? violation_ : platform_.violation;
+}
+
+void FencingSimulation::schedule(Duration delay, std::function<void()> action)
+{
+    events_.emplace(now_ + delay, std::move(action));
+}
+
+// A suspended VM handles its inputs when it wakes.
+void FencingSimulation::deliver(Vm &to, const std::string &from, Duration delay, std::function<void()> action)
+{
+    if (to.cuts.contains(from)) {
+        return;
+    }
+    schedule(delay, [&to, action = std::move(action)]() {
+        if (to.isSuspended) {
+            to.inbox.push_back(action);
+        } else {
+            action();
+        }
+    });
+}
+
+void FencingSimulation::run(Duration duration)
+{
+    constexpr Duration StartupTime = 2s;
+    const Instant faultsBegin = now_ + StartupTime;
+    const Instant faultsEnd = faultsBegin + duration;
+    const Instant end = faultsEnd + 5s;
+    for (; now_ < end && violation().empty(); now_ += 1ms) {
+        hasFaults_ = now_ >= faultsBegin && now_ < faultsEnd;
+        if (now_ == faultsEnd) {
+            answersLate_ = false;
+            platform_.cuts.clear();
+            for (auto &[name, database] : platform_.databases) {
+                database.isUp = true;
+            }
+            for (const auto &control : controls_) {
+                control->cuts.clear();
+            }
+            for (const auto &entry : vms_) {
+                entry->cuts.clear();
+            }
+        }
+        const std::size_t before = acknowledgedWrites;
+        step();
+        writesInLastSeconds += now_ > end - 2s ? acknowledgedWrites - before : 0;
+    }
+}
+
+void FencingSimulation::step()
+{
+    while (!events_.empty() && events_.begin()->first <= now_) {
+        const std::function<void()> action = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        action();
+    }
+    constexpr Duration TickInterval = 10ms;
+    if (now_.time_since_epoch() % TickInterval != Duration::zero()) {
+        return;
+    }
+    platform_.tick(now_);
+    elect();
+    constexpr Duration FaultInterval = 150ms;
+    if (hasFaults_ && now_.time_since_epoch() % FaultInterval == Duration::zero()) {
+        drawFault();
+    }
+    for (const auto &control : controls_) {
+        if (control->isSuspended) {
+            continue;
+        }
+        applyLog(*control);
+        control->supervisor->onLeadership(now_, isLeader(*control), term_, { VmId { "c0" }, VmId { "c1" } });
+        control->supervisor->tick(now_);
+        performControlActions(*control);
+    }
+    for (const auto &entry : vms_) {
+        if (entry->isSuspended) {
+            continue;
+        }
+        constexpr Duration ReportInterval = 200ms;
+        if (now_ - entry->lastReportAt >= ReportInterval) {
+            sendReport(*entry);
+        }
+        entry->core->tick(now_);
+        sendStatements(*entry);
+        performEntryActions(*entry);
+    }
+    constexpr Duration HeartbeatInterval = 500ms;
+    if (leader_ && !controls_[*leader_]->isSuspended
+        && now_.time_since_epoch() % HeartbeatInterval == Duration::zero()) {
+        ++heartbeatSequence_;
+        for (const auto &[name, database] : platform_.databases) {
+            BackendHeartbeat heartbeat { { BackendId { name }, 1, Service, name, 80, ZoneId { name }, 2, false,
+                                             database.isPrimary },
+                heartbeatSequence_ };
+            if (database.isUp && isLeader(*controls_[*leader_])) {
+                controls_[*leader_]->supervisor->onRequest(now_, heartbeatSequence_, heartbeat);
+                performControlActions(*controls_[*leader_]);
+            }
+        }
+    }
+}
+
+void FencingSimulation::drawFault()
+{
+    const auto draw = [this](int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(random_); };
+    const auto name = [](char kind, int index) { return std::string(1, kind) + std::to_string(index); };
+    const Duration lasting = std::chrono::milliseconds(100 + draw(5000));
+    Vm &vm = draw(2) == 0 ? static_cast<Vm &>(*controls_[draw(2)]) : static_cast<Vm &>(*vms_[draw(3)]);
+    switch (draw(9)) {
+    case 0: {
+        vm.isSuspended = true;
+        schedule(lasting / 2, [&vm]() {
+            vm.isSuspended = false;
+            for (const auto &action : std::exchange(vm.inbox, {})) {
+                action();
+            }
+        });
+        break;
+    }
+    case 1: {
+        const std::string other = draw(2) == 0 ? name('b', draw(3)) : name(vm.name.front() == 'c' ? 'e' : 'c', draw(2));
+        vm.cuts.insert(other);
+        schedule(lasting, [&vm, other]() { vm.cuts.erase(other); });
+        break;
+    }
+    case 2: {
+        const std::string one = name('b', draw(3));
+        const std::string two = name('b', draw(3));
+        platform_.cuts.insert({ one, two });
+        platform_.cuts.insert({ two, one });
+        schedule(lasting, [this, one, two]() {
+            platform_.cuts.erase({ one, two });
+            platform_.cuts.erase({ two, one });
+        });
+        break;
+    }
+    case 3: {
+        const std::string crashed = name('b', draw(3));
+        platform_.databases[crashed].isUp = false;
+        schedule(lasting, [this, crashed]() {
+            platform_.databases[crashed].isUp = true;
+            // The server returns as a replica if another one was promoted meanwhile.
+            for (const auto &[other, database] : platform_.databases) {
+                if (database.term > platform_.databases[crashed].term) {
+                    platform_.databases[crashed].isPrimary = false;
+                }
+            }
+        });
+        break;
+    }
+    case 4: {
+        const std::string primary = platform_.primary();
+        for (const auto &control : controls_) {
+            control->cuts.insert(primary);
+            schedule(lasting, [&control, primary]() { control->cuts.erase(primary); });
+        }
+        break;
+    }
+    case 5:
+        answersLate_ = true;
+        schedule(lasting, [this]() { answersLate_ = false; });
+        break;
+    default:
+        break;
+    }
+}
+
+// The leader renews its own lease while it runs; another VM can take over only after it has expired.
+void FencingSimulation::elect()
+{
+    if (leader_ && !controls_[*leader_]->isSuspended) {
+        controls_[*leader_]->leaseUntil = now_ + ElectionDelay;
+        return;
+    }
+    if (leader_ && now_ < controls_[*leader_]->leaseUntil) {
+        return;
+    }
+    for (std::size_t index = 0; index < controls_.size(); ++index) {
+        if (!controls_[index]->isSuspended) {
+            leader_ = index;
+            ++term_;
+            controls_[index]->leaseUntil = now_ + ElectionDelay;
+            applyLog(*controls_[index]);
+            controls_[index]->supervisor->onLeadership(now_, true, term_, { VmId { "c0" }, VmId { "c1" } });
+            return;
+        }
+    }
+}
+
+bool FencingSimulation::isLeader(const Control &control) const
+{
+    return leader_ && controls_[*leader_].get() == &control && now_ < control.leaseUntil;
+}
+
+void FencingSimulation::applyLog(Control &control)
+{
+    while (control.appliedIndex < entries_.size()) {
+        control.supervisor->onCommitted(now_, LogEntry(entries_[control.appliedIndex++]));
+    }
+}
+
+void FencingSimulation::performControlActions(Control &control)
+{
+    for (std::vector<SupervisionAction> actions = control.supervisor->takeActions(); !actions.empty();
+         actions = control.supervisor->takeActions()) {
+        for (const SupervisionAction &action : actions) {
+            performControlAction(control, action);
+        }
+    }
+}
+
+void FencingSimulation::performControlAction(Control &control, const SupervisionAction &action)
+{
+    if (const auto *proposal = std::get_if<ProposeSupervision>(&action); proposal != nullptr) {
+        if (isLeader(control)) {
+            entries_.push_back(
+                { term_, entries_.size() + 1, encodeSupervisionCommand(proposal->command), LogEntryKind::Command });
+            applyLog(control);
+        }
+    } else if (const auto *update = std::get_if<SendEntryUpdate>(&action); update != nullptr) {
+        for (const auto &entry : vms_) {
+            if (entry->name == update->entry.value && !control.cuts.contains(entry->name)) {
+                deliver(*entry, control.name, NetworkDelay, [this, &entry = *entry, message = update->update]() {
+                    entry.core->onControlUpdate(now_, message);
+                    performEntryActions(entry);
+                });
+            }
+        }
+    } else if (const auto *probe = std::get_if<ProbeBackend>(&action); probe != nullptr) {
+        respondToProbe(control, *probe);
+    } else if (const auto *promotion = std::get_if<PromoteThroughPlatform>(&action); promotion != nullptr) {
+        schedule(NetworkDelay, [this, &control, call = *promotion]() { callPlatform(control, call); });
+    }
+}
+
+void FencingSimulation::callPlatform(Control &control, const PromoteThroughPlatform &call)
+{
+    if (control.isSuspended) {
+        control.inbox.push_back([this, &control, call]() { callPlatform(control, call); });
+        return;
+    }
+    PromotionOutcome outcome = PromotionOutcome::RateLimited;
+    if (isLeader(control) && term_ == call.leaderTerm) {
+        outcome = platform_.promote(now_, call, answersLate_);
+    }
+    const Duration delay = outcome == PromotionOutcome::Unknown ? Duration(1s) : NetworkDelay;
+    deliver(control, "platform", delay, [this, &control, call, outcome]() {
+        control.supervisor->onPromotion(now_, call.service, call.fencingToken, outcome);
+        performControlActions(control);
+    });
+}
+
+void FencingSimulation::respondToProbe(Control &control, const ProbeBackend &probe)
+{
+    FakePlatform::Database &database = platform_.databases[probe.backend.id.value];
+    ProbeOutcome outcome;
+    outcome.probeId = probe.probeId;
+    Duration delay = probe.timeout;
+    if (!control.cuts.contains(probe.backend.id.value)) {
+        delay = 2 * NetworkDelay;
+        if (!database.isUp) {
+            outcome.result = ProbeResult::Refused;
+        } else if (probe.kind == ProbeKind::Role) {
+            outcome.result = database.isPrimary ? ProbeResult::IsPrimary : ProbeResult::IsReplica;
+            outcome.term = platform_.endOf(database).term;
+        } else {
+            if (probe.kind == ProbeKind::StepDown && database.term < probe.pauseTerm) {
+                database.isPrimary = false;
+            }
+            outcome.result = ProbeResult::Responded;
+            outcome.term = database.term;
+            outcome.received = platform_.endOf(database);
+            outcome.claimsPrimary = database.isPrimary;
+        }
+    }
+    deliver(control, "", delay, [this, &control, outcome]() {
+        control.supervisor->onProbe(now_, outcome);
+        performControlActions(control);
+    });
+}
+
+void FencingSimulation::sendReport(Entry &entry)
+{
+    entry.lastReportAt = now_;
+    EntryReport report;
+    report.name = entry.name;
+    report.runId = 1;
+    report.sequence = ++entry.reportSequence;
+    entry.core->fillReport(now_, report);
+    entry.core->recordReport(now_, report.sequence);
+    for (const auto &control : controls_) {
+        if (entry.cuts.contains(control->name)) {
+            continue;
+        }
+        deliver(*control, entry.name, NetworkDelay, [this, &control = *control, &entry, report]() {
+            if (isLeader(control)) {
+                applyLog(control);
+                control.supervisor->onLeadership(now_, true, term_, { VmId { "c0" }, VmId { "c1" } });
+                control.supervisor->onReport(now_, VmId { entry.name }, report);
+                performControlActions(control);
+            }
+        });
+    }
+}
+
+void FencingSimulation::performEntryActions(Entry &entry)
+{
+    for (std::vector<ProxyAction> actions = entry.core->takeActions(); !actions.empty();
+         actions = entry.core->takeActions()) {
+        for (const ProxyAction &action : actions) {
+            if (const auto *open = std::get_if<OpenBackendConnection>(&action); open != nullptr) {
+                const std::string database = open->backend.id.value;
+                const ConnectionId id = open->connection;
+                if (entry.cuts.contains(database)) {
+                    continue;
+                }
+                deliver(entry, database, 2 * NetworkDelay, [this, &entry, id, database]() {
+                    if (platform_.databases[database].isUp) {
+                        entry.connections[id] = { database, false };
+                        entry.core->onConnectionOpened(now_, id);
+                    } else {
+                        entry.core->onConnectionLost(now_, id, ConnectionLoss::Refused);
+                    }
+                    performEntryActions(entry);
+                });
+            } else if (const auto *close = std::get_if<CloseBackendConnection>(&action); close != nullptr) {
+                entry.connections.erase(close->connection);
+            } else if (const auto *exchange = std::get_if<RunExchange>(&action); exchange != nullptr) {
+                // Statements reach the server even if the entry is suspended right after sending them.
+                schedule(NetworkDelay, [this, &entry, exchange = *exchange]() { runExchange(entry, exchange); });
+            } else if (const auto *response = std::get_if<SendResponse>(&action); response != nullptr) {
+                checkResponse(entry, *response);
+            } else if (const auto *accept = std::get_if<AcceptSession>(&action); accept != nullptr) {
+                entry.accepted.insert(accept->session);
+            } else if (std::holds_alternative<SendReportNow>(action)) {
+                sendReport(entry);
+            }
+        }
+    }
+}
+
+void FencingSimulation::runExchange(Entry &entry, const RunExchange &exchange)
+{
+    const auto found = entry.connections.find(exchange.connection);
+    if (found == entry.connections.end() || entry.cuts.contains(found->second.database)
+        || !platform_.databases[found->second.database].isUp) {
+        return;
+    }
+    std::vector<BackendResponse> responses;
+    for (const Statement &statement : exchange.statements) {
+        responses.push_back(runStatement(entry, found->second, statement));
+    }
+    const Duration workTime = std::chrono::milliseconds(1 + std::uniform_int_distribution<int>(0, 60)(random_));
+    deliver(entry, found->second.database, workTime, [this, &entry, id = exchange.connection, responses]() {
+        entry.core->onExchange(now_, id, responses);
+        performEntryActions(entry);
+    });
+}
+
+BackendResponse FencingSimulation::runStatement(Entry &entry, Connection &connection, const Statement &statement)
+{
+    const FakePlatform::Database &database = platform_.databases[connection.database];
+    BackendResponse response;
+    const bool needsPrimary = statement.type == StatementType::Begin || statement.type == StatementType::Write
+        || (statement.type == StatementType::Read && connection.inTransaction);
+    if (needsPrimary && !database.isPrimary) {
+        response.code = ResponseCode::NotPrimary;
+        response.state = connection.inTransaction ? TransactionState::Failed : TransactionState::Idle;
+        return response;
+    }
+    if (statement.type == StatementType::Write) {
+        entry.commitOf[WriteSession] = platform_.commit(now_, connection.database);
+    } else if (statement.type == StatementType::Read) {
+        entry.logSeen[ReadSession] = database.log;
+    }
+    connection.inTransaction = statement.type == StatementType::Begin
+        || (statement.type != StatementType::Rollback && connection.inTransaction);
+    response.signature = statement.id;
+    response.position = platform_.endOf(database);
+    response.state = connection.inTransaction ? TransactionState::Open : TransactionState::Idle;
+    return response;
+}
+
+void FencingSimulation::sendStatements(Entry &entry)
+{
+    for (const SessionId session : { WriteSession, ReadSession }) {
+        if (!entry.accepted.contains(session) || entry.sentAt.contains(session)
+            || std::uniform_int_distribution<int>(0, 3)(random_) != 0) {
+            continue;
+        }
+        entry.sentAt[session] = now_;
+        entry.commitOf.erase(session);
+        entry.logSeen.erase(session);
+        Statement statement;
+        statement.id = "q" + std::to_string(nextStatement_++);
+        statement.type = session == WriteSession ? StatementType::Write : StatementType::Read;
+        statement.text = "x";
+        entry.core->onStatement(now_, session, statement);
+    }
+}
+
+void FencingSimulation::checkResponse(Entry &entry, const SendResponse &response)
+{
+    const Instant sentAt = entry.sentAt[response.session];
+    entry.sentAt.erase(response.session);
+    if (response.response.code != ResponseCode::Ok) {
+        return;
+    }
+    if (response.session == WriteSession) {
+        ++acknowledgedWrites;
+        FakePlatform::Commit &commit = platform_.commits[*entry.commitOf[WriteSession]];
+        commit.acknowledgedAt = now_;
+        if (commit.isAtFormerPrimary) {
+            violation_ = "a commit of a former primary was acknowledged";
+        }
+        return;
+    }
+    ++confirmedReads;
+    const std::vector<std::uint64_t> &seen = entry.logSeen[ReadSession];
+    for (std::uint64_t index = 0; index < platform_.commits.size(); ++index) {
+        const FakePlatform::Commit &commit = platform_.commits[index];
+        if (commit.acknowledgedAt && *commit.acknowledgedAt < sentAt && !commit.isLost
+            && std::find(seen.begin(), seen.end(), index) == seen.end()) {
+            violation_ = "a read missed an acknowledged commit";
+        }
+    }
+}
+
+} // namespace daisyrelay
