--- a/include/daisyrelay/proxy/primarylease.h
+++ b/include/daisyrelay/proxy/primarylease.h
@@ -29,8 +29,9 @@
     /// the lease already lasts longer.
     bool extend(std::uint64_t sequence, Duration duration);
 
-    /// Replaces the set of withdrawn services. \returns the services whose withdrawal is new.
-    std::vector<ServiceId> setWithdrawn(const std::vector<PrimaryWithdrawal> &withdrawals);
+    /// Applies the current withdrawals. A withdrawal that is not among them has ended, unless \p keepsOthers: the entry
+    /// may not know the primary yet for which it has ended. \returns the services whose withdrawal is new.
+    std::vector<ServiceId> setWithdrawn(const std::vector<PrimaryWithdrawal> &withdrawals, bool keepsOthers = false);
 
     /// Records that no exchange with the primary of \p service is in flight any more. \returns false unless this
     /// releases a withdrawn service for the first time.
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -90,9 +90,11 @@
 
     struct Service {
         PrimaryRecord primary;
+        std::set<BackendId> backends; ///< All backend servers of the service.
         bool isFailingOver = false;
         FreshnessHistory freshness;
         std::set<std::tuple<std::uint32_t, Instant, SessionId>> queue; ///< Ordered by priority and arrival.
+        Instant lastUsedAt {}; ///< When a statement was last submitted.
         Instant lastSampledAt {}; ///< When a position was last requested.
         std::size_t queuedForPrimary = 0; ///< Queued statements that only the primary can run.
         std::map<std::uint64_t, Instant> positionRequests; ///< When each request to a home was sent, by sequence.
@@ -126,6 +128,10 @@
     // topology.cpp
     void applyConfiguration(Instant now, const RouteConfiguration &configuration);
     void applyTopology(Instant now, const Topology &topology);
+    void applyHomes(const HomesUpdate &update);
+    [[nodiscard]] Topology completeTopology() const;
+    void dispatchAll(Instant now);
+    void removePool(Instant now, const BackendId &id);
     Service &serviceOf(const ServiceId &service);
 
     // leases.cpp
@@ -167,6 +173,7 @@
         const Session &session, const PendingStatement &pending, const Service &service) const;
     void openConnection(Instant now, BackendPool &pool);
     void openForDemand(Instant now, BackendPool &pool, std::size_t demand);
+    void requestQuota(Instant now, const Service &service);
     void reject(Instant now, Session &session, ResponseCode code, std::string_view reason, Duration retryAfter);
 
     // forwarding.cpp
@@ -237,7 +244,10 @@
     Metrics &metrics_;
     ProxyTiming timing_;
     RouteConfiguration configuration_;
-    Topology topology_;
+    Topology topology_; ///< Only the index is used; pools and services hold the rest.
+    std::uint64_t controlTopologyIndex_ = 0; ///< Index that control had at its last update.
+    /// Backend servers with a quota, connections or recent demand, and possibly others.
+    std::set<BackendId> activePools_;
     Duration transactionIdleTimeout_ {};
     std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes_;
     std::map<ServiceId, Service> services_;
@@ -259,6 +269,8 @@
     std::uint64_t nextPreparedName_ = 1;
     ConnectionId nextConnection_ = 1;
     Instant lastIdleCheckAt_ {};
+    Instant lastServiceCheckAt_ {};
+    Instant lastDemandReportAt_ {};
     PrimaryLease lease_;
     bool wasLeaseAlive_ = false; ///< Whether the lease was alive at the last tick.
     std::map<ServiceId, Instant> withdrawnAt_; ///< When the withdrawal of a service that is not released arrived.
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -26,6 +26,12 @@
     Duration minHedgeDelay = std::chrono::milliseconds(60);
     /// Added cost of a server in another availability zone: one more round trip.
     Duration crossZoneCost = std::chrono::milliseconds(2);
+    /// Minimum interval between reports that are sent early because a server is needed for which there is no quota.
+    Duration minDemandReportInterval = std::chrono::milliseconds(20);
+    /// Positions are not sampled while a service is unused for longer than this.
+    Duration sampleIdleTimeout = std::chrono::seconds(5);
+    /// Interval between two checks of all services for a sample that is due.
+    Duration serviceCheckInterval = std::chrono::milliseconds(30);
     /// How long the peak demand for connections is remembered.
     Duration demandWindow = std::chrono::seconds(5);
     /// The entry is isolated if neither control nor most primaries have responded for this time. A change of the
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -16,6 +16,7 @@
     Instant lastReportAt {};
     /// Maximum number of connections to each backend server that the entry may use.
     std::map<BackendId, std::uint32_t> granted;
+    std::set<BackendId> homeOf; ///< Backend servers for which the entry is a home.
     std::uint64_t configSent = 0; ///< Version of the last configuration that was sent to the entry.
     std::uint64_t topologySent = 0; ///< Index of the last topology that was sent to the entry.
     Instant configSentAt {};
@@ -31,8 +32,9 @@
 public:
     explicit EntryRegistry(SupervisionTiming timing);
 
-    /// Discards all entries, homes and relays. Called when this control VM becomes the leader.
-    void reset(Instant now);
+    /// Discards all entries, homes and relays. Called when this control VM becomes the leader of \p term, which orders
+    /// the versions of homes of different leaders.
+    void reset(Instant now, Term term = 1);
 
     /// Records the report of \p entry. \returns false if a later report of the same run is known.
     bool recordReport(Instant now, const VmId &entry, const EntryReport &report);
@@ -49,7 +51,9 @@
     /// Reassigns the homes of backend servers and the relays of primaries. \returns whether any of them changed.
     bool assignHomes(Instant now, const SupervisionState &state);
 
-    [[nodiscard]] std::vector<BackendHomes> homes() const;
+    /// Returns the homes that an entry with the homes of \p knownVersion lacks, oldest changes first and at most
+    /// MaxHomesPerUpdate of them. The reply is empty if it lacks none.
+    [[nodiscard]] HomesUpdate homesSince(std::uint64_t knownVersion) const;
     [[nodiscard]] std::uint64_t homesVersion() const;
 
     /// Tells whether \p entry may have connections to \p backend.
@@ -58,6 +62,9 @@
     /// Tells whether any report since \p since confirms that \p backend is the primary of \p service.
     [[nodiscard]] bool isConfirmedPrimary(Instant since, const ServiceId &service, const BackendId &backend) const;
 
+    /// Tells whether the last report of any entry could not reach \p backend.
+    [[nodiscard]] bool isReportedUnreachable(const ServiceId &service, const BackendId &backend) const;
+
     /// Tells whether more than half of the entries that reported recently cannot reach \p backend.
     [[nodiscard]] bool isUnreachableFromMost(Instant now, const ServiceId &service, const BackendId &backend) const;
 
@@ -77,12 +84,29 @@
         const VmId &entry, const BackendId &backend, std::uint32_t usable, std::uint32_t requestedCount) const;
     [[nodiscard]] std::uint32_t shareOf(const VmId &entry, const BackendId &backend, std::uint32_t usable) const;
 
-    SupervisionTiming timing_;
+    /// What entries have reported about one primary.
+    struct PrimaryEvidence {
+        Instant confirmedAt {}; ///< Time of the last report that confirmed the role.
+        std::set<VmId> unreachableFrom; ///< Entries whose last report could not reach the server.
+    };
+
+    void recordEvidence(Instant now, const VmId &entry, const EntryReport &report);
+    void forgetEvidence(const VmId &entry, const EntryReport &report);
+    [[nodiscard]] bool isAvailable(Instant now, const VmId &entry) const;
+    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend,
+        const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
+        const std::map<VmId, std::size_t> &homeCounts) const;
+    void replaceHomes(Instant now, std::map<BackendId, std::vector<VmId>> homes);
     [[nodiscard]] std::map<BackendId, std::vector<VmId>> chooseRelays(Instant now) const;
 
+    SupervisionTiming timing_;
+    std::map<std::pair<ServiceId, BackendId>, PrimaryEvidence> evidence_;
     std::map<BackendId, std::vector<VmId>> homes_;
     std::map<BackendId, std::vector<VmId>> relays_; ///< Entries that reach a primary which other entries cannot reach.
     std::uint64_t homesVersion_ = 0;
+    /// Version of the last change of each server's homes and relays; a server without any has an entry, too.
+    std::map<BackendId, std::uint64_t> homesChangedAt_;
+    std::uint64_t firstHomesVersion_ = 0; ///< Entries with older homes have those of another leader.
     /// Caches the sum of the claims of all entries on a backend server. Valid while entries and homes stay the same.
     struct Total {
         std::uint32_t usable = 0;
--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -22,6 +22,7 @@
     Term leaderTerm = 0;
     std::function<std::uint64_t()> nextId;
     std::function<void(SupervisionAction)> emit;
+    Duration probeInterval {}; ///< Interval between two probes of a primary that responds.
 };
 
 /// Monitors one service while this control VM is the leader. A promotion with an unknown outcome is superseded by one
@@ -34,6 +35,9 @@
 
     void tick(Instant now, const MonitorContext &context);
 
+    /// Returns whether tick() has to be called. A primary that is healthy needs it only for its next probe.
+    [[nodiscard]] bool isDue(Instant now) const;
+
     /// \returns whether this monitor sent the probe.
     bool onProbe(Instant now, const ProbeOutcome &outcome, const MonitorContext &context);
 
@@ -68,6 +72,8 @@
     void finishSurvey(Instant now, const MonitorContext &context);
     void proposePromotion(Instant now, const MonitorContext &context);
     void awaitPrimaryRole(Instant now, const MonitorContext &context);
+    /// Returns whether \p outcome of a probe shows that the promotion of the candidate has taken effect.
+    [[nodiscard]] bool hasTakenRole(Instant now, const ProbeOutcome &outcome) const;
     void retryAfter(Instant now, Duration delay, const MonitorContext &context);
     /// Returns the server that a promotion without a known outcome may still make the primary.
     [[nodiscard]] std::optional<BackendId> candidateInDoubt(Instant now, const MonitorContext &context) const;
@@ -89,6 +95,7 @@
     Instant confirmedAt_ {}; ///< Time of the last confirmation that the primary has the role.
     Instant reportsCountFrom_ {}; ///< Earlier reports of entries do not count as confirmation.
     Instant probedAt_ {};
+    Instant nextTickAt_ {};
     Instant recordedAt_ {};
     std::optional<Instant> deposedSince_;
     std::optional<Instant> refusedSince_;
--- a/include/daisyrelay/supervision/supervisionactions.h
+++ b/include/daisyrelay/supervision/supervisionactions.h
@@ -56,6 +56,7 @@
     Term term = 0; ///< Current term of the server.
     LogPoint received; ///< End of the server's log.
     bool claimsPrimary = false; ///< Role in a response to Status, Pause, Resume or StepDown.
+    Term ownTerm = 0; ///< In such a response: the term that the server leads or follows.
 };
 
 /// Calls the platform to promote a backend server; exactly one PromotionOutcome follows.
--- a/include/daisyrelay/supervision/supervisionstate.h
+++ b/include/daisyrelay/supervision/supervisionstate.h
@@ -30,10 +30,16 @@
     /// Returns the promotion of \p service that may still be carried out, or null if there is none.
     [[nodiscard]] const PrimaryRecord *pendingPromotionOf(const ServiceId &service) const;
 
+    [[nodiscard]] const std::map<ServiceId, PrimaryRecord> &pendingPromotions() const;
+
     [[nodiscard]] const ServiceLimits *limitsOf(const ServiceId &service) const;
     [[nodiscard]] std::uint64_t topologyIndex() const;
     [[nodiscard]] Topology topology() const;
 
+    /// Returns the changes after \p index, oldest first and at most \p maxChanges of them; the complete topology if the
+    /// changes since then are not known.
+    [[nodiscard]] Topology changesSince(std::uint64_t index, std::size_t maxChanges) const;
+
     /// Tells whether \p record belongs to an incarnation that has ended or been superseded.
     [[nodiscard]] bool isOutdated(const BackendRecord &record) const;
 
@@ -48,7 +54,9 @@
     bool applyCommand(std::uint64_t index, const RemoveBackend &command);
     bool applyCommand(std::uint64_t index, const DecidePromotion &command);
     bool applyCommand(std::uint64_t index, const RecordPrimary &command);
-    void recordRemoved(const BackendRecord &removed);
+    void recordRemoved(std::uint64_t index, const BackendRecord &removed);
+    void recordAddress(const BackendRecord &record);
+    [[nodiscard]] const BackendRecord *findAt(const std::string &host, std::uint16_t port) const;
 
     RouteConfiguration configuration_;
     std::string configurationSource_;
@@ -57,6 +65,10 @@
     std::map<ServiceId, PrimaryRecord> primaries_;
     std::map<ServiceId, PrimaryRecord> pendingPromotions_;
     std::deque<BackendRecord> removed_; ///< Last incarnations of removed backend servers, oldest first.
+    std::map<std::pair<std::string, std::uint16_t>, BackendId> idByAddress_;
+    std::map<BackendId, std::uint64_t> changedAt_; ///< Log index of the last change of each backend server.
+    std::deque<std::pair<std::uint64_t, BackendId>> removals_; ///< Recent removals with their log index, oldest first.
+    std::uint64_t removalsSince_ = 0; ///< All later removals are in `removals_`.
 };
 
 } // namespace daisyrelay
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -12,12 +12,16 @@
     Duration commitTimeout = std::chrono::milliseconds(800);
     /// Interval between two probes of a primary.
     Duration probeInterval = std::chrono::milliseconds(100);
+    /// Average time between two probes when there are many services.
+    Duration minProbeSpacing = std::chrono::milliseconds(3);
+    /// Longest time between two looks at the state of a healthy primary.
+    Duration maxMonitorPause = std::chrono::milliseconds(100);
     /// Interval between two probes of a backend server that is being promoted.
     Duration promotedProbeInterval = std::chrono::milliseconds(15);
     /// A probe needs no statement slot, so a healthy server responds immediately.
     Duration probeTimeout = std::chrono::milliseconds(250);
-    /// A primary without confirmation for longer than this is replaced.
-    Duration maxPrimarySilence = std::chrono::milliseconds(380);
+    /// A primary without confirmation for longer than this, beyond the interval between two probes, is replaced.
+    Duration maxPrimarySilence = std::chrono::milliseconds(280);
     /// A primary whose host refuses connections for longer than this is replaced.
     Duration refusedTimeout = std::chrono::milliseconds(150);
     /// A primary that reports the replica role for longer than this is replaced.
@@ -47,6 +51,8 @@
     Duration maxEntrySilence = std::chrono::milliseconds(1500);
     /// The connections of an entry silent for longer than this are given to other entries.
     Duration entryExpiry = std::chrono::seconds(6);
+    /// With more entries, changes of backend servers are sent only in response to reports.
+    std::size_t maxEntriesForBackendPush = 16;
     /// Interval between two assignments of homes.
     Duration homeAssignmentInterval = std::chrono::milliseconds(250);
     /// A new leader keeps existing homes for this time, in which all entries find the new leader.
@@ -69,6 +75,15 @@
 /// all of them.
 constexpr std::size_t MinDirectConnections = 2;
 
+/// If there are more backend servers, an entry gets connections only to those that it requests.
+constexpr std::size_t MaxBackendsWithShares = 128;
+
+/// Maximum number of backend servers whose homes are sent in one update, so that no update delays others for long.
+constexpr std::size_t MaxHomesPerUpdate = 64;
+
+/// Maximum number of backend servers and primaries that are sent in one update.
+constexpr std::size_t MaxTopologyChangesPerUpdate = 64;
+
 /// Number of entries that relay statements to a primary which other entries cannot reach.
 constexpr std::size_t RelaysPerPrimary = 3;
 
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace daisyrelay {
@@ -63,6 +64,9 @@
     void failPendingRequests();
     void logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index);
     void removeSilentBackends(Instant now);
+    /// \returns whether a failover has started or ended.
+    bool tickMonitors(Instant now);
+    [[nodiscard]] Duration probeInterval() const;
     void pushUpdates(Instant now);
     void pushUpdate(Instant now, const VmId &entry, bool isResponse);
     void propose(SupervisionCommand command);
@@ -85,6 +89,10 @@
     /// Start time and sequence of the last accepted heartbeat.
     std::map<BackendId, std::pair<std::int64_t, std::uint64_t>> lastHeartbeat_;
     std::map<ServiceId, PrimaryMonitor> monitors_;
+    std::uint64_t monitoredTopology_ = 0; ///< Index of the topology whose services all have a monitor.
+    std::set<ServiceId> failingOver_;
+    std::map<std::uint64_t, ServiceId> serviceByProbe_; ///< Probes in flight.
+    Instant silentBackendsCheckedAt_ {};
     std::deque<PendingRequest> pendingRequests_;
     std::map<BackendId, Instant> removalProposedAt_;
     std::uint64_t nextId_;
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -77,17 +77,21 @@
     }
 };
 
-/// All backend servers and primaries.
+/// Backend servers and primaries: all of them, or the changes since an earlier index.
 struct Topology {
-    /// Log index of the last change; a topology with a higher index replaces one with a lower index.
+    /// Log index of the last change that is included; updates up to an index that the receiver has are ignored.
     std::uint64_t index = 0;
+    /// Zero if the topology is complete. Otherwise it contains all changes after this index, and applies to topologies
+    /// of this index or a later one.
+    std::uint64_t baseIndex = 0;
     std::vector<BackendRecord> backends;
     std::vector<PrimaryRecord> primaries;
+    std::vector<BackendId> removed; ///< Backend servers that no longer exist.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(index, backends, primaries);
+        archive(index, baseIndex, backends, primaries, removed);
     }
 };
 
@@ -105,6 +109,19 @@
     }
 };
 
+/// Changed homes.
+struct HomesUpdate {
+    std::uint64_t version = 0; ///< Version of the entry's homes after the update.
+    bool replacesAll = false; ///< Homes that the update does not contain no longer exist.
+    std::vector<BackendHomes> homes; ///< No entries if a server has no homes any more.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, replacesAll, homes);
+    }
+};
+
 /// The leader's response to a report, also sent when the configuration or the topology changes and when a failover
 /// starts or ends.
 struct EntryUpdate {
@@ -117,8 +134,7 @@
     std::vector<VmId> controlVms;
     std::vector<VmId> peers; ///< Some other entries, for use while no control VM can be reached.
     std::uint32_t reportIntervalMs = 0;
-    std::uint64_t homesVersion = 0;
-    std::optional<std::vector<BackendHomes>> homes; ///< Present if the entry has other homes.
+    std::optional<HomesUpdate> homes; ///< Present if the entry lacks some.
     std::vector<ServiceId> failingOver; ///< Services whose primary is being replaced.
     std::uint64_t number = 0; ///< Increases with each update of a leader to any entry; zero if it is not numbered.
     std::uint64_t topologyIndex = 0; ///< Index of the leader's topology.
@@ -131,7 +147,7 @@
     void serialize(Archive &archive)
     {
         archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers,
-            reportIntervalMs, homesVersion, homes, failingOver, number, topologyIndex, lease, withdrawn);
+            reportIntervalMs, homes, failingOver, number, topologyIndex, lease, withdrawn);
     }
 };
 
@@ -278,7 +294,8 @@
 struct RecordPrimary {
     ServiceId service;
     BackendId backend;
-    /// A promotion of the server whose outcome is unknown may still be carried out, and would make it the primary again.
+    /// A promotion of the server whose outcome is unknown may still be carried out, and would make it the primary
+    /// again.
     bool isInDoubt = false;
 
     template <typename Archive>
--- a/include/daisyrelay/wire/sessionstatement.h
+++ b/include/daisyrelay/wire/sessionstatement.h
@@ -83,7 +83,8 @@
 /// The response of a backend server to Status, Pause, Resume and StepDown.
 struct BackendStatus {
     bool isPrimary = false;
-    Term term = 0;
+    Term term = 0; ///< The highest term that the server knows, as primary, replica or after a Pause or StepDown.
+    Term ownTerm = 0; ///< The term that the server leads or follows.
     LogPoint received; ///< The end of the log, whether applied or not.
 };
 
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -37,6 +37,7 @@
 {
     const PendingStatement &pending = *session.pending;
     Service &service = serviceOf(pending.route->service);
+    service.lastUsedAt = std::max(service.lastUsedAt, pending.arrivedAt);
     service.queue.insert({ pending.route->priority, pending.arrivedAt, session.id });
     service.queuedForPrimary += pending.needsPrimary ? 1 : 0;
 }
@@ -170,7 +171,8 @@
     Instant now, const Session &session, const Service &service, const LogPoint &minPoint) const
 {
     double statementsPerTick = 0;
-    for (const auto &[id, pool] : pools_) {
+    for (const BackendId &id : service.backends) {
+        const BackendPool &pool = pools_.at(id);
         if (canRunRead(now, pool, session.pending->route->service, minPoint) && pool.quota() > 0) {
             statementsPerTick += 1 / std::max(1.0, static_cast<double>(pool.predictWait(now, 1).count()));
         }
@@ -185,7 +187,8 @@
     BackendPool *best = nullptr;
     Duration bestCost {};
     bool bestIsDraining = false;
-    for (auto &[id, pool] : pools_) {
+    for (const BackendId &id : service.backends) {
+        BackendPool &pool = pools_.at(id);
         if (!canRunRead(now, pool, pending.route->service, minPoint) || pending.triedBackends.contains(id)
             || (idleOnly && !pool.hasCapacity(now))
             || (isForwarded && pool.record().isDraining && id != service.primary.backend)
@@ -218,6 +221,7 @@
         return placeRemotely(now, session, service, false);
     }
     if (preferred == nullptr) {
+        requestQuota(now, service);
         if (!session.pending->triedBackends.empty()) {
             session.pending->triedBackends.clear();
             session.pending->retryAt = now + timing_.busyBackoff;
@@ -241,9 +245,32 @@
     return Placement::Started;
 }
 
+// Requests connections to a server of the service, preferably in this zone, if control has granted none to any.
+void ProxyCore::requestQuota(Instant now, const Service &service)
+{
+    BackendPool *best = nullptr;
+    for (const BackendId &id : service.backends) {
+        BackendPool &pool = pools_.at(id);
+        if (pool.quota() > 0) {
+            return;
+        }
+        if (pool.isUsable(now) && (best == nullptr || pool.record().zone == zone_)) {
+            best = &pool;
+        }
+    }
+    if (best != nullptr) {
+        openForDemand(now, *best, 1);
+    }
+}
+
 void ProxyCore::openForDemand(Instant now, BackendPool &pool, std::size_t demand)
 {
     pool.recordDemand(now, pool.inUseCount() + demand);
+    activePools_.insert(pool.record().id);
+    if (pool.quota() == 0 && now - lastDemandReportAt_ >= timing_.minDemandReportInterval) {
+        lastDemandReportAt_ = now;
+        actions_.emplace_back(SendReportNow {});
+    }
     while (pool.openingCount() < demand && pool.canOpen(now)) {
         openConnection(now, pool);
     }
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -13,8 +13,10 @@
 
 bool ProxyCore::hasLocalServer(const ServiceId &service) const
 {
-    return std::any_of(pools_.begin(), pools_.end(),
-        [&](const auto &entry) { return entry.second.record().service == service && entry.second.quota() > 0; });
+    const auto found = services_.find(service);
+    return found != services_.end()
+        && std::any_of(found->second.backends.begin(), found->second.backends.end(),
+            [this](const BackendId &id) { return pools_.at(id).quota() > 0; });
 }
 
 bool ProxyCore::mustForwardToPrimary(Instant now, const Service &service) const
@@ -55,8 +57,9 @@
     }
     const BackendId *best = nullptr;
     int bestRank = 0;
-    for (const auto &[id, pool] : pools_) {
-        if (pool.record().service != pending.route->service || pending.triedBackends.contains(id)) {
+    for (const BackendId &id : service.backends) {
+        const BackendPool &pool = pools_.at(id);
+        if (pending.triedBackends.contains(id)) {
             continue;
         }
         constexpr int DrainingPenalty = 4;
--- a/lib/proxy/leases.cpp
+++ b/lib/proxy/leases.cpp
@@ -26,7 +26,8 @@
 
 void ProxyCore::applyLease(Instant now, const EntryUpdate &update)
 {
-    for (const ServiceId &service : lease_.setWithdrawn(update.withdrawn)) {
+    const bool isTopologyCurrent = topology_.index >= update.topologyIndex;
+    for (const ServiceId &service : lease_.setWithdrawn(update.withdrawn, !isTopologyCurrent)) {
         withdrawnAt_[service] = now;
         metrics_.add("primaries_withdrawn_total");
         log_.log(now, "lease.withdrawn",
@@ -37,7 +38,7 @@
     }
     std::erase_if(withdrawnAt_, [this](const auto &entry) { return !lease_.isWithdrawn(entry.first); });
     // Under an older topology the lease would cover a primary that has been replaced.
-    if (update.lease > std::chrono::milliseconds::zero() && topology_.index >= update.topologyIndex) {
+    if (update.lease > std::chrono::milliseconds::zero() && isTopologyCurrent) {
         if (!lease_.extend(update.sequence, update.lease)) {
             metrics_.add("leases_ignored_total");
         }
--- a/lib/proxy/primarylease.cpp
+++ b/lib/proxy/primarylease.cpp
@@ -37,14 +37,17 @@
     return true;
 }
 
-std::vector<ServiceId> PrimaryLease::setWithdrawn(const std::vector<PrimaryWithdrawal> &withdrawals)
+std::vector<ServiceId> PrimaryLease::setWithdrawn(const std::vector<PrimaryWithdrawal> &withdrawals, bool keepsOthers)
 {
     std::vector<ServiceId> added;
     std::map<ServiceId, Withdrawal> current;
+    if (keepsOthers) {
+        current = withdrawals_;
+    }
     for (const PrimaryWithdrawal &withdrawal : withdrawals) {
         const auto known = withdrawals_.find(withdrawal.service);
         if (known != withdrawals_.end() && known->second.id == withdrawal.id) {
-            current.emplace(*known);
+            current.insert_or_assign(known->first, known->second);
             continue;
         }
         current[withdrawal.service] = { withdrawal.id, false };
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -84,9 +84,12 @@
 
 bool ProxyCore::isReady() const
 {
+    // With more backend servers, control grants quotas only on request.
+    constexpr std::size_t MaxPoolsWithQuota = 128;
     return configuration_.version > 0 && topology_.index > 0 && !drainStartedAt_ && !isolatedSince_
         && (!homes_.empty()
-            || std::any_of(pools_.begin(), pools_.end(), [](const auto &entry) { return entry.second.quota() > 0; }));
+            || std::any_of(quotas_.begin(), quotas_.end(), [](const auto &quota) { return quota.second > 0; })
+            || pools_.size() > MaxPoolsWithQuota);
 }
 
 bool ProxyCore::shouldCloseIdleSessions(Instant now) const
@@ -115,7 +118,12 @@
     report.homesVersion = homesVersion_;
     report.isLeaving = drainStartedAt_.has_value();
     report.released = lease_.released();
-    for (const auto &[id, pool] : pools_) {
+    for (const BackendId &id : activePools_) {
+        const BackendPool *active = findPool(id);
+        if (active == nullptr) {
+            continue;
+        }
+        const BackendPool &pool = *active;
         const auto openCount = static_cast<std::uint32_t>(pool.openCount());
         if (const std::uint32_t heldCount = std::max(pool.quota(), openCount); heldCount > 0) {
             report.heldQuotas.push_back({ id, heldCount });
@@ -140,8 +148,11 @@
 bool ProxyCore::isBusy() const
 {
     return drainStartedAt_ || !activeSessions_.empty()
-        || std::any_of(pools_.begin(), pools_.end(),
-            [](const auto &entry) { return entry.second.inUseCount() + entry.second.openingCount() > 0; })
+        || std::any_of(activePools_.begin(), activePools_.end(),
+            [this](const BackendId &id) {
+                const BackendPool *pool = findPool(id);
+                return pool != nullptr && pool->inUseCount() + pool->openingCount() > 0;
+            })
         || std::any_of(
             services_.begin(), services_.end(), [](const auto &entry) { return !entry.second.queue.empty(); });
 }
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -114,12 +114,13 @@
     if (now - pending.sentAt < hedgeDelay) {
         return;
     }
+    const Service &service = serviceOf(pool.record().service);
     const bool hasAlternative = pending.needsPrimary
         ? pool.idleCount() > 0 && !pool.isUnresponsive(now)
-        : std::any_of(pools_.begin(), pools_.end(), [&](const auto &entry) {
-              const BackendPool &other = entry.second;
-              return entry.first != pool.record().id && other.record().service == pool.record().service
-                  && !pending.triedBackends.contains(entry.first) && other.idleCount() > 0 && other.isUsable(now);
+        : std::any_of(service.backends.begin(), service.backends.end(), [&](const BackendId &id) {
+              const BackendPool &other = pools_.at(id);
+              return id != pool.record().id && !pending.triedBackends.contains(id) && other.idleCount() > 0
+                  && other.isUsable(now);
           });
     if (!hasAlternative) {
         return;
@@ -136,8 +137,12 @@
 void ProxyCore::checkConnections(Instant now)
 {
     std::vector<ConnectionId> expired;
-    for (auto &[id, pool] : pools_) {
-        for (auto &[connectionId, connection] : pool.connections()) {
+    for (const BackendId &id : activePools_) {
+        BackendPool *pool = findPool(id);
+        if (pool == nullptr) {
+            continue;
+        }
+        for (auto &[connectionId, connection] : pool->connections()) {
             const bool isWaiting = connection.state == BackendConnection::State::Busy
                 || connection.state == BackendConnection::State::Opening;
             if (isWaiting && now > connection.deadline) {
@@ -182,10 +187,16 @@
 
 void ProxyCore::closeUnneededConnections(Instant now)
 {
-    for (auto &[id, pool] : pools_) {
-        if (const std::optional<ConnectionId> connection = pool.unneededConnection(now); connection) {
-            closeConnection(now, pool, *connection, ConnectionLoss::Broken);
+    for (auto at = activePools_.begin(); at != activePools_.end();) {
+        BackendPool *pool = findPool(*at);
+        if (pool != nullptr && !pool->connections().empty()) {
+            if (const std::optional<ConnectionId> connection = pool->unneededConnection(now); connection) {
+                closeConnection(now, *pool, *connection, ConnectionLoss::Broken);
+            }
         }
+        const bool isActive
+            = pool != nullptr && (pool->quota() > 0 || !pool->connections().empty() || pool->recentDemand(now) > 0);
+        at = isActive ? std::next(at) : activePools_.erase(at);
     }
 }
 
@@ -195,11 +206,16 @@
     if (drainStartedAt_ && sessions_.empty()) {
         return;
     }
-    for (auto &[id, pool] : pools_) {
-        if (pool.connections().empty() && pool.quota() > 0 && pool.canOpen(now)) {
-            openConnection(now, pool);
+    for (const BackendId &id : activePools_) {
+        if (BackendPool *pool = findPool(id);
+            pool != nullptr && pool->connections().empty() && pool->quota() > 0 && pool->canOpen(now)) {
+            openConnection(now, *pool);
         }
     }
+    if (now - lastServiceCheckAt_ < timing_.serviceCheckInterval) {
+        return;
+    }
+    lastServiceCheckAt_ = now;
     for (auto &[id, service] : services_) {
         // Keeps trying to connect to a primary even while statements for it are forwarded.
         BackendPool *primary = findPool(service.primary.backend);
@@ -208,7 +224,8 @@
         }
         const std::optional<Instant> newestSampleAt = service.freshness.newestSampleAt();
         const bool isDue = !newestSampleAt || now - *newestSampleAt >= timing_.sampleInterval;
-        if ((isDue || !service.positionRequesters.empty())
+        const bool isUsed = now - service.lastUsedAt <= timing_.sampleIdleTimeout;
+        if (((isDue && isUsed) || !service.positionRequesters.empty())
             && now - service.lastSampledAt >= timing_.sampleInterval / 2) {
             if (mustForwardToPrimary(now, service)) {
                 requestPosition(now, id, service);
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -11,7 +11,8 @@
     }
     return services_
         .emplace(service,
-            Service { {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, 0, {}, {} })
+            Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, 0,
+                {}, {} })
         .first->second;
 }
 
@@ -28,16 +29,14 @@
         applyTopology(now, *update.topology);
     }
     if (update.homes) {
-        homes_.clear();
-        homesVersion_ = update.homesVersion;
-        for (const BackendHomes &homes : *update.homes) {
-            homes_[homes.backend] = homes.entries;
-        }
+        applyHomes(*update.homes);
         log_.log(
             now, "homes.changed", { { "version", homesVersion_ }, { "servers", std::uint64_t { homes_.size() } } });
     }
+    controlTopologyIndex_ = update.topologyIndex;
     for (const ConnectionQuota &quota : update.quotas) {
         quotas_[quota.backend] = quota.connections;
+        activePools_.insert(quota.backend);
         if (BackendPool *pool = findPool(quota.backend); pool != nullptr) {
             pool->setQuota(quota.connections);
             closeConnectionsAboveQuota(now, *pool);
@@ -51,9 +50,7 @@
     }
     applyLease(now, update);
     checkOpeningSessions(now);
-    for (auto &[id, service] : services_) {
-        dispatch(now, id);
-    }
+    dispatchAll(now);
 }
 
 EntryUpdate ProxyCore::makeUpdateFor(const EntryReport &report) const
@@ -64,12 +61,28 @@
     if (report.configVersion < configuration_.version) {
         update.configuration = configuration_;
     }
-    if (report.topologyIndex < topology_.index) {
-        update.topology = topology_;
+    // While parts are missing, this entry cannot tell which backend servers exist.
+    if (report.topologyIndex < topology_.index && topology_.index >= controlTopologyIndex_) {
+        update.topology = completeTopology();
     }
     return update;
 }
 
+Topology ProxyCore::completeTopology() const
+{
+    Topology topology;
+    topology.index = topology_.index;
+    for (const auto &[id, pool] : pools_) {
+        topology.backends.push_back(pool.record());
+    }
+    for (const auto &[id, service] : services_) {
+        if (!service.primary.backend.empty()) {
+            topology.primaries.push_back(service.primary);
+        }
+    }
+    return topology;
+}
+
 void ProxyCore::onPeerUpdate(Instant now, const EntryUpdate &update)
 {
     if (update.configuration) {
@@ -78,9 +91,7 @@
     if (update.topology) {
         applyTopology(now, *update.topology);
     }
-    for (auto &[id, service] : services_) {
-        dispatch(now, id);
-    }
+    dispatchAll(now);
 }
 
 void ProxyCore::applyConfiguration(Instant now, const RouteConfiguration &configuration)
@@ -102,12 +113,60 @@
     routes_ = std::move(routes);
 }
 
+void ProxyCore::dispatchAll(Instant now)
+{
+    for (auto &[id, service] : services_) {
+        if (!service.queue.empty()) {
+            dispatch(now, id);
+        }
+    }
+}
+
+void ProxyCore::applyHomes(const HomesUpdate &update)
+{
+    if (update.replacesAll) {
+        homes_.clear();
+    }
+    homesVersion_ = update.version;
+    for (const BackendHomes &homes : update.homes) {
+        if (homes.entries.empty()) {
+            homes_.erase(homes.backend);
+        } else {
+            homes_[homes.backend] = homes.entries;
+        }
+    }
+}
+
+void ProxyCore::removePool(Instant now, const BackendId &id)
+{
+    BackendPool *pool = findPool(id);
+    if (pool == nullptr) {
+        return;
+    }
+    log_.log(now, "backend.gone", { { "backend", std::string_view(id.value) }, { "index", topology_.index } });
+    while (!pool->connections().empty()) {
+        const ConnectionId connection = pool->connections().begin()->first;
+        actions_.emplace_back(CloseBackendConnection { connection });
+        onConnectionLost(now, connection, ConnectionLoss::Broken);
+    }
+    serviceOf(pool->record().service).backends.erase(id);
+    quotas_.erase(id);
+    activePools_.erase(id);
+    pools_.erase(id);
+}
+
 void ProxyCore::applyTopology(Instant now, const Topology &topology)
 {
     if (topology.index <= topology_.index) {
         return;
     }
-    topology_ = topology;
+    const bool isComplete = topology.baseIndex == 0;
+    const bool isFirst = topology_.index == 0 && topology.baseIndex == 1;
+    if (!isComplete && topology_.index < topology.baseIndex && !isFirst) {
+        metrics_.add("topologies_refused_total"); // Changes in between are missing.
+        return;
+    }
+    topology_.index = topology.index;
     std::set<BackendId> present;
     for (const BackendRecord &record : topology.backends) {
         present.insert(record.id);
@@ -116,22 +175,17 @@
         } else {
             BackendPool &added = pools_.emplace(record.id, BackendPool(now, record, timing_)).first->second;
             added.setQuota(quotas_[record.id]);
+            serviceOf(record.service).backends.insert(record.id);
         }
     }
-    for (auto at = pools_.begin(); at != pools_.end();) {
-        if (present.contains(at->first)) {
-            ++at;
-            continue;
-        }
-        log_.log(
-            now, "backend.gone", { { "backend", std::string_view(at->first.value) }, { "index", topology.index } });
-        while (!at->second.connections().empty()) {
-            const ConnectionId connection = at->second.connections().begin()->first;
-            actions_.emplace_back(CloseBackendConnection { connection });
-            onConnectionLost(now, connection, ConnectionLoss::Broken);
+    std::vector<BackendId> removed = topology.removed;
+    for (const auto &[id, pool] : pools_) {
+        if (isComplete && !present.contains(id)) {
+            removed.push_back(id);
         }
-        quotas_.erase(at->first);
-        at = pools_.erase(at);
+    }
+    for (const BackendId &id : removed) {
+        removePool(now, id);
     }
     for (const PrimaryRecord &primary : topology.primaries) {
         Service &service = serviceOf(primary.service);
--- a/lib/runtime/probeclient.cpp
+++ b/lib/runtime/probeclient.cpp
@@ -117,6 +117,7 @@
             outcome.result = ProbeResult::Responded;
             outcome.term = status->term;
             outcome.received = status->received;
+            outcome.ownTerm = status->ownTerm;
             outcome.claimsPrimary = status->isPrimary;
         }
     }
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -53,6 +53,11 @@
     }
 }
 
+bool PrimaryMonitor::isDue(Instant now) const
+{
+    return stage_ != Stage::Monitoring || now >= nextTickAt_;
+}
+
 void PrimaryMonitor::enterStage(Instant now, Stage stage)
 {
     stage_ = stage;
@@ -134,7 +139,7 @@
     if (refusedSince_ && now - *refusedSince_ > timing_.refusedTimeout) {
         return "refused";
     }
-    if (now - confirmedAt_ > timing_.maxPrimarySilence) {
+    if (now - confirmedAt_ > context.probeInterval + timing_.maxPrimarySilence) {
         return "silent";
     }
     return unreachableSince_ && now - *unreachableSince_ > timing_.unreachableTimeout ? "cut-from-entries" : "";
@@ -154,16 +159,25 @@
         }
         return;
     }
+    context.leases.restore(service_); // The server in doubt may have left.
     if (!inDoubt && context.leases.policy() == FencingPolicy::Leases
         && context.state.pendingPromotionOf(service_) != nullptr) {
         proposePrimary(now, context, primary->backend, "settled");
     }
     const BackendRecord *backend = context.state.find(primary->backend);
-    if (backend != nullptr && probes_.empty() && now - probedAt_ >= timing_.probeInterval) {
+    // Without a response to the last probe, or if an entry cannot reach it either, the primary is probed more often.
+    const bool isSuspect = lastProbeResult_ != ProbeResult::IsPrimary
+        || context.entries.isReportedUnreachable(service_, primary->backend);
+    const Duration interval = isSuspect ? timing_.probeInterval : context.probeInterval;
+    if (backend != nullptr && probes_.empty() && now - probedAt_ >= interval) {
         probedAt_ = now;
         probe(context, *backend, ProbeKind::Role, timing_.probeTimeout);
     }
     const std::string_view failure = failureReason(now, context, *primary);
+    if (failure.empty() && !isSuspect) {
+        // Draining servers and reports of entries must be noticed between two probes, too.
+        nextTickAt_ = now + std::min(timing_.maxMonitorPause, context.probeInterval / 8);
+    }
     if (failure.empty() || now < retryAt_) {
         return;
     }
@@ -330,7 +344,7 @@
         }
         return true;
     }
-    if (stage_ == Stage::AwaitingRole && outcome.result == ProbeResult::IsPrimary && backend == candidate_) {
+    if (stage_ == Stage::AwaitingRole && backend == candidate_ && hasTakenRole(now, outcome)) {
         proposePrimary(now, context, backend, "promoted");
         return true;
     }
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -135,8 +135,23 @@
     }
     if (probes_.empty() && now - probedAt_ >= timing_.promotedProbeInterval) {
         probedAt_ = now;
-        probe(context, *backend, ProbeKind::Role, timing_.probeTimeout);
+        const bool isFenced = context.leases.policy() == FencingPolicy::Platform;
+        probe(context, *backend, isFenced ? ProbeKind::Role : ProbeKind::Status, timing_.probeTimeout);
     }
 }
 
+// Where nobody fences, the candidate may have been a primary before and still claim the role in its old term. A call
+// for the server that the platform considers the primary changes no term, which only time tells.
+bool PrimaryMonitor::hasTakenRole(Instant now, const ProbeOutcome &outcome) const
+{
+    if (outcome.result == ProbeResult::IsPrimary) {
+        return true;
+    }
+    const auto surveyed = surveyOutcomes_.find(candidate_);
+    const bool hasNewTerm = surveyed != surveyOutcomes_.end() && surveyed->second.result == ProbeResult::Responded
+        && outcome.ownTerm > surveyed->second.ownTerm;
+    return outcome.result == ProbeResult::Responded && outcome.claimsPrimary
+        && (hasNewTerm || now - enteredAt_ > timing_.promotionEffectTimeout - timing_.promotionRetryDelay);
+}
+
 } // namespace daisyrelay
--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -37,15 +37,15 @@
         }
     }
     // Only one backend server can run at an address, so any other server recorded there has ended.
-    for (auto it = backends_.begin(); it != backends_.end();) {
-        const BackendRecord &other = it->second;
-        if (other.id != record.id && other.host == record.host && other.port == record.port) {
-            recordRemoved(other);
-            it = backends_.erase(it);
-        } else {
-            ++it;
-        }
+    if (const BackendRecord *other = findAt(record.host, record.port); other != nullptr && other->id != record.id) {
+        recordRemoved(index, *other);
+        backends_.erase(BackendId(other->id));
+    }
+    if (known != backends_.end()) {
+        idByAddress_.erase({ known->second.host, known->second.port });
     }
+    recordAddress(record);
+    changedAt_[record.id] = index;
     backends_[record.id] = record;
     topologyIndex_ = index;
     return true;
@@ -57,7 +57,7 @@
     if (found == backends_.end() || (command.startedAtMs != 0 && found->second.startedAtMs > command.startedAtMs)) {
         return false;
     }
-    recordRemoved(found->second);
+    recordRemoved(index, found->second);
     backends_.erase(found);
     topologyIndex_ = index;
     return true;
@@ -85,25 +85,44 @@
     return true;
 }
 
-void SupervisionState::recordRemoved(const BackendRecord &removed)
+void SupervisionState::recordRemoved(std::uint64_t index, const BackendRecord &removed)
 {
+    removals_.emplace_back(index, removed.id);
+    if (removals_.size() > MaxRemovedBackends) {
+        removalsSince_ = removals_.front().first;
+        removals_.pop_front();
+    }
+    if (const auto at = idByAddress_.find({ removed.host, removed.port });
+        at != idByAddress_.end() && at->second == removed.id) {
+        idByAddress_.erase(at);
+    }
+    changedAt_.erase(removed.id);
     removed_.push_back(removed);
     if (removed_.size() > MaxRemovedBackends) {
         removed_.pop_front();
     }
 }
 
+void SupervisionState::recordAddress(const BackendRecord &record)
+{
+    idByAddress_[{ record.host, record.port }] = record.id;
+}
+
+const BackendRecord *SupervisionState::findAt(const std::string &host, std::uint16_t port) const
+{
+    const auto found = idByAddress_.find({ host, port });
+    return found == idByAddress_.end() ? nullptr : find(found->second);
+}
+
 bool SupervisionState::isOutdated(const BackendRecord &record) const
 {
     const bool hasEnded = std::any_of(removed_.begin(), removed_.end(), [&record](const BackendRecord &removed) {
         return removed.id == record.id && removed.startedAtMs >= record.startedAtMs;
     });
-    return hasEnded || std::any_of(backends_.begin(), backends_.end(), [&record](const auto &entry) {
-        const BackendRecord &other = entry.second;
-        const bool hasSameAddress = other.host == record.host && other.port == record.port;
-        return other.id == record.id ? other.startedAtMs > record.startedAtMs
-                                     : hasSameAddress && other.startedAtMs > record.startedAtMs;
-    });
+    const BackendRecord *known = find(record.id);
+    const BackendRecord *atAddress = findAt(record.host, record.port);
+    return hasEnded || (known != nullptr && known->startedAtMs > record.startedAtMs)
+        || (atAddress != nullptr && atAddress->id != record.id && atAddress->startedAtMs > record.startedAtMs);
 }
 
 const RouteConfiguration &SupervisionState::configuration() const
@@ -144,6 +163,11 @@
     return found == pendingPromotions_.end() ? nullptr : &found->second;
 }
 
+const std::map<ServiceId, PrimaryRecord> &SupervisionState::pendingPromotions() const
+{
+    return pendingPromotions_;
+}
+
 const ServiceLimits *SupervisionState::limitsOf(const ServiceId &service) const
 {
     const auto found = std::find_if(configuration_.services.begin(), configuration_.services.end(),
@@ -169,6 +193,50 @@
     return topology;
 }
 
+Topology SupervisionState::changesSince(std::uint64_t index, std::size_t maxChanges) const
+{
+    // An entry without any topology has nothing that could have been removed.
+    if (index != 0 && index < removalsSince_) {
+        return topology();
+    }
+    std::vector<std::uint64_t> changes;
+    for (const auto &[id, changedAt] : changedAt_) {
+        if (changedAt > index) {
+            changes.push_back(changedAt);
+        }
+    }
+    for (const auto &[service, primary] : primaries_) {
+        if (primary.generation > index) {
+            changes.push_back(primary.generation);
+        }
+    }
+    Topology part;
+    part.index = topologyIndex_;
+    part.baseIndex = std::max<std::uint64_t>(index, 1);
+    if (changes.size() > maxChanges) {
+        const auto last = changes.begin() + static_cast<std::ptrdiff_t>(maxChanges) - 1;
+        std::nth_element(changes.begin(), last, changes.end());
+        part.index = *last;
+    }
+    const auto isIncluded = [&](std::uint64_t changedAt) { return changedAt > index && changedAt <= part.index; };
+    for (const auto &[id, changedAt] : changedAt_) {
+        if (isIncluded(changedAt)) {
+            part.backends.push_back(backends_.at(id));
+        }
+    }
+    for (const auto &[service, primary] : primaries_) {
+        if (isIncluded(primary.generation)) {
+            part.primaries.push_back(primary);
+        }
+    }
+    for (const auto &[changedAt, id] : removals_) {
+        if (isIncluded(changedAt) && !backends_.contains(id)) {
+            part.removed.push_back(id);
+        }
+    }
+    return part;
+}
+
 std::string SupervisionState::encode() const
 {
     SupervisionSnapshot snapshot { configuration_, configurationSource_, topologyIndex_, {}, {}, {}, {} };
@@ -193,11 +261,14 @@
     state.configurationSource_ = std::move(snapshot->configurationSource);
     state.topologyIndex_ = snapshot->topologyIndex;
     for (BackendRecord &record : snapshot->backends) {
+        state.recordAddress(record);
+        state.changedAt_[record.id] = state.topologyIndex_;
         state.backends_.emplace(record.id, std::move(record));
     }
     for (PrimaryRecord &primary : snapshot->primaries) {
         state.primaries_.emplace(primary.service, std::move(primary));
     }
+    state.removalsSince_ = state.topologyIndex_;
     state.removed_.assign(snapshot->removed.begin(), snapshot->removed.end());
     for (PrimaryRecord &promotion : snapshot->pendingPromotions) {
         state.pendingPromotions_.emplace(promotion.service, std::move(promotion));
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -31,19 +31,40 @@
     }
     metrics_.add("leaderships_total");
     // Another leader may have granted quotas and promoted servers in the meantime, so earlier knowledge is discarded.
-    entries_.reset(now);
+    entries_.reset(now, term);
     leases_.reset(now);
     lastHeartbeatAt_.clear();
     lastHeartbeat_.clear();
     monitors_.clear();
+    failingOver_.clear();
+    serviceByProbe_.clear();
     removalProposedAt_.clear();
     leaderSince_ = now;
+    // A promotion that a former leader has decided may take effect at any time, so that no update may lift its
+    // withdrawal.
+    for (const auto &[service, promotion] : state_.pendingPromotions()) {
+        const PrimaryRecord *primary = state_.primaryOf(service);
+        if (primary == nullptr || primary->backend != promotion.backend) {
+            leases_.withdraw(now, service, nextId_++, [](const VmId &) { return true; });
+        }
+    }
 }
 
 MonitorContext Supervisor::context()
 {
     return { state_, entries_, leases_, lastHeartbeatAt_, log_, metrics_, term_, [this]() { return nextId_++; },
-        [this](SupervisionAction action) { actions_.push_back(std::move(action)); } };
+        [this](SupervisionAction action) {
+            if (const auto *probe = std::get_if<ProbeBackend>(&action); probe != nullptr) {
+                serviceByProbe_[probe->probeId] = probe->backend.service;
+            }
+            actions_.push_back(std::move(action));
+        },
+        probeInterval() };
+}
+
+Duration Supervisor::probeInterval() const
+{
+    return std::max(timing_.probeInterval, timing_.minProbeSpacing * static_cast<std::int64_t>(monitors_.size()));
 }
 
 void Supervisor::propose(SupervisionCommand command)
@@ -73,7 +94,10 @@
         }
     }
     respondToCompleted(now);
-    isPushDue_ = isPushDue_ || hasChanged;
+    // With many entries, changes of backend servers wait for the next report of each.
+    const bool isUrgent = !std::holds_alternative<RecordBackend>(*command)
+        || entries_.sessions().size() <= timing_.maxEntriesForBackendPush;
+    isPushDue_ = isPushDue_ || (hasChanged && isUrgent);
 }
 
 void Supervisor::logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index)
@@ -132,10 +156,14 @@
 
 void Supervisor::onProbe(Instant now, const ProbeOutcome &outcome)
 {
-    for (auto &[service, monitor] : monitors_) {
-        if (monitor.onProbe(now, outcome, context())) {
-            return;
-        }
+    const auto probe = serviceByProbe_.find(outcome.probeId);
+    if (probe == serviceByProbe_.end()) {
+        return;
+    }
+    const ServiceId service = std::move(probe->second);
+    serviceByProbe_.erase(probe);
+    if (const auto monitor = monitors_.find(service); monitor != monitors_.end()) {
+        monitor->second.onProbe(now, outcome, context());
     }
 }
 
@@ -162,26 +190,42 @@
         }
     }
     removeSilentBackends(now);
-    for (const auto &[id, backend] : state_.backends()) {
-        monitors_.try_emplace(backend.service, now, backend.service, timing_);
-    }
-    bool hasChangedFailover = false;
-    for (auto &[service, monitor] : monitors_) {
-        const bool wasFailingOver = monitor.isFailingOver();
-        monitor.tick(now, context());
-        hasChangedFailover = hasChangedFailover || wasFailingOver != monitor.isFailingOver();
-    }
+    const bool hasChangedFailover = tickMonitors(now);
     if (hasChangedFailover || isPushDue_) {
         pushUpdates(now);
     }
     respondToCompleted(now);
 }
 
+bool Supervisor::tickMonitors(Instant now)
+{
+    if (monitoredTopology_ != state_.topologyIndex() || monitors_.empty()) {
+        monitoredTopology_ = state_.topologyIndex();
+        for (const auto &[id, backend] : state_.backends()) {
+            monitors_.try_emplace(backend.service, now, backend.service, timing_);
+        }
+    }
+    bool hasChanged = false;
+    for (auto &[service, monitor] : monitors_) {
+        if (!monitor.isDue(now)) {
+            continue;
+        }
+        monitor.tick(now, context());
+        if (monitor.isFailingOver()) {
+            hasChanged = failingOver_.insert(service).second || hasChanged;
+        } else {
+            hasChanged = failingOver_.erase(service) > 0 || hasChanged;
+        }
+    }
+    return hasChanged;
+}
+
 void Supervisor::removeSilentBackends(Instant now)
 {
-    if (now - leaderSince_ < timing_.backendExpiry) {
+    if (now - leaderSince_ < timing_.backendExpiry || now - silentBackendsCheckedAt_ < timing_.homeAssignmentInterval) {
         return;
     }
+    silentBackendsCheckedAt_ = now;
     for (const auto &[id, backend] : state_.backends()) {
         const auto lastHeartbeat = lastHeartbeatAt_.find(id);
         const bool isSilent
@@ -219,9 +263,10 @@
     }
     const std::uint64_t topologyIndex = state_.topologyIndex();
     const bool mustResendTopology = now - session.topologySentAt > timing_.pushRetryInterval;
-    if (session.report.topologyIndex < topologyIndex && (mustResendTopology || session.topologySent < topologyIndex)) {
-        update.topology = state_.topology();
-        session.topologySent = topologyIndex;
+    const bool isTopologyConfirmed = session.report.topologyIndex >= session.topologySent;
+    if (session.report.topologyIndex < topologyIndex && (mustResendTopology || isTopologyConfirmed)) {
+        update.topology = state_.changesSince(session.report.topologyIndex, MaxTopologyChangesPerUpdate);
+        session.topologySent = update.topology->index;
         session.topologySentAt = now;
     }
     update.number = nextUpdateNumber_++;
@@ -233,16 +278,11 @@
         update.quotas = entries_.grantQuotas(now, entry, state_);
         update.controlVms = controlVms_;
         update.peers = entries_.peersFor(now, entry);
-        update.homesVersion = entries_.homesVersion();
-        if (update.homesVersion != 0 && session.report.homesVersion != update.homesVersion) {
-            update.homes = entries_.homes();
-        }
-    }
-    for (const auto &[service, monitor] : monitors_) {
-        if (monitor.isFailingOver()) {
-            update.failingOver.push_back(service);
+        if (entries_.homesVersion() > session.report.homesVersion) {
+            update.homes = entries_.homesSince(session.report.homesVersion);
         }
     }
+    update.failingOver.assign(failingOver_.begin(), failingOver_.end());
     update.reportIntervalMs = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(entries_.reportInterval()).count());
     actions_.emplace_back(SendEntryUpdate { entry, std::move(update) });
--- a/unittests/fencing/fencingsimulation.cpp
+++ b/unittests/fencing/fencingsimulation.cpp
@@ -325,6 +325,7 @@
             }
             outcome.result = ProbeResult::Responded;
             outcome.term = database.term;
+            outcome.ownTerm = database.term;
             outcome.received = platform_.endOf(database);
             outcome.claimsPrimary = database.isPrimary;
         }
--- a/unittests/proxy/forwardingtest.cpp
+++ b/unittests/proxy/forwardingtest.cpp
@@ -22,10 +22,10 @@
         home.configure(guarantee);
         home.sendTopology(3);
         EntryUpdate update = home.core.makeUpdateFor({});
-        update.homesVersion = 1;
         update.homes.emplace();
+        update.homes->version = 1;
         for (const auto &[name, server] : home.servers) {
-            update.homes->push_back({ BackendId { name }, { VmId { "home" } } });
+            update.homes->homes.push_back({ BackendId { name }, { VmId { "home" } } });
         }
         entry.onControlUpdate(home.now, update);
         performActions();
--- a/unittests/proxy/primaryleasetest.cpp
+++ b/unittests/proxy/primaryleasetest.cpp
@@ -75,6 +75,16 @@
     CHECK(lease.canSend(now, service));
 }
 
+TEST(PrimaryLease, WithdrawalStaysUntilTheNewPrimaryIsKnown)
+{
+    grant(1);
+    lease.setWithdrawn({ { service, 4 } });
+    lease.setWithdrawn({}, true);
+    CHECK(!lease.canSend(now, service));
+    lease.setWithdrawn({});
+    CHECK(lease.canSend(now, service));
+}
+
 TEST(PrimaryLease, FencingPlatformNeedsNoLease)
 {
     const PrimaryLease fenced(FencingPolicy::Platform);
--- a/unittests/supervision/entryregistrytest.cpp
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -121,14 +121,14 @@
         }
         registry.assignHomes(now, state);
     }
-    CHECK_EQUAL(24U, registry.homes().size());
+    CHECK_EQUAL(24U, registry.homesSince(0).homes.size());
     std::map<BackendId, std::uint32_t> sums;
     for (const auto &[name, quotas] : held) {
         for (const auto &[backend, connections] : quotas) {
             sums[backend] += connections;
         }
     }
-    for (const BackendHomes &homes : registry.homes()) {
+    for (const BackendHomes &homes : registry.homesSince(0).homes) {
         CHECK_EQUAL(HomesPerBackend, homes.entries.size());
         CHECK(sums[homes.backend] <= 23);
         for (const VmId &home : homes.entries) {
