--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -27,7 +27,7 @@
     /// Added cost of a server in another availability zone: one more round trip.
     Duration crossZoneCost = std::chrono::milliseconds(2);
     /// Minimum interval between reports that are sent early because a server is needed for which there is no quota.
-    Duration minDemandReportInterval = std::chrono::milliseconds(20);
+    Duration minDemandReportInterval = std::chrono::milliseconds(50);
     /// Positions are not sampled while a service is unused for longer than this.
     Duration sampleIdleTimeout = std::chrono::seconds(5);
     /// Interval between two checks of all services for a sample that is due.
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -179,6 +179,10 @@
     // The number of entries is unknown until all had time to report, so each gets one connection until then.
     const bool isStartup = now - leaderSince_ < timing_.quotaGrantDelay;
     ReportingEntry &session = found->second;
+    std::map<BackendId, std::uint32_t> requestedQuotas;
+    for (const ConnectionQuota &quota : session.report.requestedQuotas) {
+        requestedQuotas[quota.backend] = quota.connections;
+    }
     for (const BackendId &id : quotaCandidates(session, state)) {
         const BackendRecord *backend = state.find(id);
         if (backend == nullptr) {
@@ -190,10 +194,8 @@
         }
         const std::uint32_t usable
             = limits->maxConnections > ReservedConnections ? limits->maxConnections - ReservedConnections : 1;
-        const auto requestedQuota = std::find_if(session.report.requestedQuotas.begin(),
-            session.report.requestedQuotas.end(), [&id](const ConnectionQuota &quota) { return quota.backend == id; });
-        const std::uint32_t requestedCount
-            = requestedQuota == session.report.requestedQuotas.end() ? 0 : requestedQuota->connections;
+        const auto requested = requestedQuotas.find(id);
+        const std::uint32_t requestedCount = requested == requestedQuotas.end() ? 0 : requested->second;
         const std::uint32_t target = isStartup ? 1 : targetQuotaOf(entry, id, usable, requestedCount);
         const auto granted = session.granted.find(id);
         const std::uint32_t current = granted == session.granted.end() ? 0 : granted->second;
