Keep the homes of a former leader until the new one has sent its own

Change: quotas are not lowered before homes are assigned; former homes are used until the last part has arrived; sums of claims are kept up to date instead of recomputed.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -256,6 +256,7 @@
     std::unordered_map<SessionId, Session> sessions_;
     std::vector<OpeningSession> openingSessions_;
     std::map<BackendId, std::vector<VmId>> homes_;
+    std::set<BackendId> formerHomes_; ///< Backend servers whose homes are those of a former leader.
     std::uint64_t homesVersion_ = 0;
     std::map<VmId, HomeState> homeStates_;
     std::map<std::pair<VmId, std::uint64_t>, SessionId> forwardedSessions_;
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -90,8 +90,11 @@
         std::set<VmId> unreachableFrom; ///< Entries whose last report could not reach the server.
     };
 
+    void setGranted(const VmId &entry, ReportingEntry &session, const BackendId &backend, std::uint32_t connections);
     void recordEvidence(Instant now, const VmId &entry, const EntryReport &report);
     void forgetEvidence(const VmId &entry, const EntryReport &report);
+    /// Returns whether entries still have the homes of a former leader and this one has assigned none.
+    [[nodiscard]] bool isAwaitingHomes(Instant now) const;
     [[nodiscard]] bool isAvailable(Instant now, const VmId &entry) const;
     [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend,
         const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -112,13 +112,14 @@
 /// Changed homes.
 struct HomesUpdate {
     std::uint64_t version = 0; ///< Version of the entry's homes after the update.
-    bool replacesAll = false; ///< Homes that the update does not contain no longer exist.
+    bool replacesAll = false; ///< First of the updates that together replace all homes.
+    bool isLast = false; ///< No further update follows; homes that none of them contained no longer exist.
     std::vector<BackendHomes> homes; ///< No entries if a server has no homes any more.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(version, replacesAll, homes);
+        archive(version, replacesAll, isLast, homes);
     }
 };
 
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -122,19 +122,29 @@
     }
 }
 
+// Homes of a former leader stay in use until this one has sent all of its own.
 void ProxyCore::applyHomes(const HomesUpdate &update)
 {
     if (update.replacesAll) {
-        homes_.clear();
+        formerHomes_.clear();
+        for (const auto &[backend, entries] : homes_) {
+            formerHomes_.insert(backend);
+        }
     }
     homesVersion_ = update.version;
     for (const BackendHomes &homes : update.homes) {
+        formerHomes_.erase(homes.backend);
         if (homes.entries.empty()) {
             homes_.erase(homes.backend);
         } else {
             homes_[homes.backend] = homes.entries;
         }
     }
+    if (update.isLast) {
+        for (const BackendId &backend : std::exchange(formerHomes_, {})) {
+            homes_.erase(backend);
+        }
+    }
 }
 
 void ProxyCore::removePool(Instant now, const BackendId &id)
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -51,15 +51,15 @@
     for (const ConnectionQuota &quota : report.heldQuotas) {
         held[quota.backend] = quota.connections;
     }
-    if (session.granted != held) {
-        for (const auto &[backend, connections] : session.granted) {
-            totals_.erase(backend);
+    for (const auto &[backend, connections] : session.granted) {
+        if (!held.contains(backend)) {
+            setGranted(entry, session, backend, 0);
         }
-        for (const auto &[backend, connections] : held) {
-            totals_.erase(backend);
-        }
-        session.granted = std::move(held);
     }
+    for (const auto &[backend, connections] : held) {
+        setGranted(entry, session, backend, connections);
+    }
+    session.granted = std::move(held);
     return true;
 }
 
@@ -101,6 +101,20 @@
     }
 }
 
+// Keeps the cached sum of claims valid while the quota changes.
+void EntryRegistry::setGranted(
+    const VmId &entry, ReportingEntry &session, const BackendId &backend, std::uint32_t connections)
+{
+    const auto total = totals_.find(backend);
+    if (total == totals_.end()) {
+        session.granted[backend] = connections;
+        return;
+    }
+    total->second.claims -= claimedBy(entry, session, backend, total->second.usable);
+    session.granted[backend] = connections;
+    total->second.claims += claimedBy(entry, session, backend, total->second.usable);
+}
+
 // An entry that has not requested connections yet still has a claim to its share, so that faster entries cannot take
 // it.
 std::uint32_t EntryRegistry::claimedBy(
@@ -176,8 +190,9 @@
     if (found == sessions_.end()) {
         return changes;
     }
-    // The number of entries is unknown until all had time to report, so each gets one connection until then.
-    const bool isStartup = now - leaderSince_ < timing_.quotaGrantDelay;
+    // The number of entries is unknown until all had time to report, so each gets one connection until then. Homes of
+    // the former leader keep their connections until this leader has assigned homes.
+    const bool isStartup = now - leaderSince_ < timing_.quotaGrantDelay || isAwaitingHomes(now);
     ReportingEntry &session = found->second;
     std::map<BackendId, std::uint32_t> requestedQuotas;
     for (const ConnectionQuota &quota : session.report.requestedQuotas) {
@@ -208,8 +223,7 @@
         changes.push_back({ id, quota });
         // A lowered quota counts at its old value until the entry reports that it closed the connections.
         if (quota > current) {
-            totals_.erase(id);
-            session.granted[id] = quota;
+            setGranted(entry, session, id, quota);
         }
     }
     return changes;
--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -31,6 +31,13 @@
         && now - found->second.lastReportAt <= timing_.maxEntrySilence;
 }
 
+bool EntryRegistry::isAwaitingHomes(Instant now) const
+{
+    return homesVersion_ == 0 && now - leaderSince_ < timing_.homeAssignmentDelay
+        && std::any_of(sessions_.begin(), sessions_.end(),
+            [](const auto &entry) { return entry.second.report.homesVersion != 0; });
+}
+
 // Prefers entries that hold connections, so that a new leader or a lost entry moves as few homes as possible, then
 // entries in the zone of the server with the fewest homes.
 std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const BackendRecord &backend,
@@ -87,10 +94,7 @@
 // few entries in the zone of the server hold all of them, so that none is idle while another entry waits for one.
 bool EntryRegistry::assignHomes(Instant now, const SupervisionState &state)
 {
-    const bool anyEntryHasHomes = std::any_of(
-        sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.second.report.homesVersion != 0; });
-    if (homesVersion_ == 0
-        && now - leaderSince_ < (anyEntryHasHomes ? timing_.homeAssignmentDelay : timing_.quotaGrantDelay)) {
+    if (isAwaitingHomes(now) || (homesVersion_ == 0 && now - leaderSince_ < timing_.quotaGrantDelay)) {
         return false;
     }
     std::map<BackendId, std::vector<VmId>> holders;
@@ -182,7 +186,8 @@
         }
     }
     std::sort(changes.begin(), changes.end());
-    if (changes.size() > MaxHomesPerUpdate) {
+    update.isLast = changes.size() <= MaxHomesPerUpdate;
+    if (!update.isLast) {
         changes.resize(MaxHomesPerUpdate);
     }
     for (const auto &[version, id] : changes) {
--- a/unittests/proxy/forwardingtest.cpp
+++ b/unittests/proxy/forwardingtest.cpp
@@ -24,6 +24,7 @@
         EntryUpdate update = home.core.makeUpdateFor({});
         update.homes.emplace();
         update.homes->version = 1;
+        update.homes->isLast = true;
         for (const auto &[name, server] : home.servers) {
             update.homes->homes.push_back({ BackendId { name }, { VmId { "home" } } });
         }
