--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -136,7 +136,8 @@
         return Placement::Started;
     }
     if (pool->hasCapacity(now)) {
-        openForDemand(now, *pool, service.queuedForPrimary);
+        // A read without a minimum position needs the primary, too, but is not counted.
+        openForDemand(now, *pool, std::max<std::size_t>(service.queuedForPrimary, 1));
     }
     return rejectIfWaitTooLong(now, session, pool->predictWait(now, countAhead(session, service, true) + 1));
 }
--- a/unittests/scale/controlsimulation.cpp
+++ b/unittests/scale/controlsimulation.cpp
@@ -80,7 +80,7 @@
             DatabaseRoute added;
             added.database = "db" + std::to_string(service) + "x" + std::to_string(route);
             added.service = serviceAt(service);
-            added.guarantee = ReadGuarantee::Primary;
+            added.guarantee = route == 0 ? ReadGuarantee::Primary : ReadGuarantee::BoundedStaleness;
             added.maxStaleness = 1500ms;
             added.timeout = timeout;
             added.latencyTarget = 200ms;
@@ -264,8 +264,10 @@
         BackendResponse response;
         response.signature = statement.id.empty() ? "" : "signature";
         response.position = LogPoint { 1, 1 };
-        const bool begins = statement.type == StatementType::Begin || statement.type == StatementType::Read;
-        response.state = begins ? TransactionState::Open : TransactionState::Idle;
+        bool &inTransaction = entries_[index]->inTransaction[exchange.connection];
+        const bool begins = statement.type == StatementType::Begin || statement.type == StatementType::BeginReadOnly;
+        inTransaction = begins || (inTransaction && statement.type != StatementType::Rollback);
+        response.state = inTransaction ? TransactionState::Open : TransactionState::Idle;
         responses.push_back(std::move(response));
     }
     schedule(now_ + 9ms, [this, index, runId = entries_[index]->runId, id = exchange.connection, responses]() {
@@ -305,14 +307,15 @@
 {
     Entry &entry = *entries_[index];
     const std::size_t service = std::uniform_int_distribution<std::size_t>(0, size_.services - 1)(random_);
-    const std::string database = "db" + std::to_string(service) + "x0";
+    const bool isRead = std::uniform_int_distribution<int>(0, 2)(random_) > 0;
+    const std::string database = "db" + std::to_string(service) + (isRead ? "x1" : "x0");
     const auto [found, isNew] = entry.sessions.emplace(database, entry.nextSession);
     if (isNew) {
         entry.core->onSessionOpened(now_, entry.nextSession++, database);
     }
     Statement statement;
     statement.id = "q" + std::to_string(nextId_++);
-    statement.type = StatementType::Write;
+    statement.type = isRead ? StatementType::Read : StatementType::Write;
     statement.text = "x";
     entry.core->onStatement(now_, found->second, statement);
 }
--- a/unittests/scale/controlsimulation.h
+++ b/unittests/scale/controlsimulation.h
@@ -67,6 +67,7 @@
         Instant reportDueAt {};
         Instant linkFreeAt {}; ///< When the link has transmitted all messages sent so far.
         std::map<ConnectionId, std::size_t> connections; ///< Index of the backend server.
+        std::map<ConnectionId, bool> inTransaction;
         std::map<std::string, SessionId> sessions; ///< By database.
         SessionId nextSession = 1;
     };
