--- a/tools/daisyrelay-soak/main.cpp
+++ b/tools/daisyrelay-soak/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint64(entries, 4, "Entries");
 DEFINE_uint64(controls, 3, "Number of control VMs");
 DEFINE_uint64(callers, 12, "Callers");
+DEFINE_bool(fences, true, "Whether a primary loses its role at the moment another server is promoted");
 DEFINE_string(only, "", "Inject only this kind of fault");
 
 static bool runSeed(std::uint64_t seed)
@@ -27,6 +28,7 @@
     options.size.callers = FLAGS_callers;
     options.program = FLAGS_node;
     options.folder = FLAGS_folder + "/seed-" + std::to_string(seed);
+    options.platformFences = FLAGS_fences;
     options.onlyKind = FLAGS_only;
     std::filesystem::remove_all(options.folder);
     std::filesystem::create_directories(options.folder);
--- a/unittests/soak/standinservicetest.cpp
+++ b/unittests/soak/standinservicetest.cpp
@@ -15,7 +15,7 @@
 
 TEST(StandinService, ReplicasReceiveAndApplyAfterDelay)
 {
-    service.commit(now, "w", {});
+    service.commit(now, service.primary(), "w", {});
     CHECK_EQUAL(1, service.primary().applied);
     service.replicate(now + 1ms);
     CHECK_EQUAL(0, service.servers()[1].received);
@@ -31,8 +31,8 @@
 TEST(StandinService, PointOfOlderTermIsCheckedAgainstLog)
 {
     service.extraReplicationDelay = 10s;
-    service.commit(now, "one", {});
-    service.commit(now, "two", {});
+    service.commit(now, service.primary(), "one", {});
+    service.commit(now, service.primary(), "two", {});
     service.replicate(now + 100ms);
     CHECK(service.promote("s-1"));
     service.replicate(now + 200ms);
@@ -44,13 +44,23 @@
 
 TEST(StandinService, PointDiscardedByPromotionIsNotContained)
 {
-    service.commit(now, "one", {});
+    service.commit(now, service.primary(), "one", {});
     service.replicate(now + 100ms);
-    service.commit(now + 100ms, "lost", {});
+    service.commit(now + 100ms, service.primary(), "lost", {});
     CHECK(service.promote("s-1"));
     CHECK_EQUAL(1, service.primary().applied);
-    service.commit(now + 200ms, "next", {});
+    service.commit(now + 200ms, service.primary(), "next", {});
     CHECK(!service.containsPoint(service.primary(), { 1, 2 }));
     CHECK(service.containsPoint(service.primary(), { 2, 2 }));
     CHECK(service.containsPoint(service.primary(), { 2, 1 }));
 }
+
+TEST(StandinService, FormerPrimaryGoesOnUntilSteppedDownWhereNobodyFences)
+{
+    StandinService unfenced("u", 2, checker, false);
+    CHECK(unfenced.promote("u-1"));
+    CHECK(unfenced.isPrimary(unfenced.servers()[0]));
+    CHECK(unfenced.isPrimary(unfenced.servers()[1]));
+    StandinService::stepDown(unfenced.servers()[0]);
+    CHECK(!unfenced.isPrimary(unfenced.servers()[0]));
+}
