Keep grants when a leader regains its lease in the same term

Each time it forgot which quotas it had granted and granted the connections anew: about 300 connections a second were refused as over a server's limit, and no homes were assigned, since these wait 2.5 s. Change: only a new term discards quotas, homes and leases; nobody else can have led in the same one. Ruled out: the sums of claims (test of quotas). The test fails on the former code.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -208,6 +208,8 @@
     void closeConnection(Instant now, BackendPool &pool, ConnectionId connection, ConnectionLoss loss);
 
     // outcomes.cpp
+    void onBeginResponse(Instant now, BackendPool &pool, BackendConnection &connection, const BackendResponse &response,
+        Session *session);
     void onStatementResponses(
         Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendResponse> &responses);
     void completeStatement(
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -78,6 +78,7 @@
     SupervisionState state_;
     bool isLeader_ = false;
     Term term_ = 0;
+    Term ledTerm_ = 0; ///< Last term in which this VM was the leader.
     Instant leaderSince_ {};
     Instant homesAssignedAt_ {};
     bool isPushDue_ = false;
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -116,6 +116,25 @@
     }
 }
 
+// Handles the response to a successful BEGIN. \p session is null if nothing waits for it any more.
+void ProxyCore::onBeginResponse(
+    Instant now, BackendPool &pool, BackendConnection &connection, const BackendResponse &response, Session *session)
+{
+    const bool isValid = isLeaseValid(now, pool, connection) && canUsePrimary(now, pool.record().service);
+    if (connection.confirmsPrimary && isValid) {
+        recordPosition(pool, connection, response);
+    }
+    if (session != nullptr && connection.needsLease && !isValid) {
+        connection.session = 0;
+        rollBackConnection(now, connection);
+        retryStatement(now, *session, pool, ResponseCode::Busy);
+    } else if (session != nullptr) {
+        sendAfterBegin(now, *session, connection);
+    } else {
+        rollBackConnection(now, connection);
+    }
+}
+
 void ProxyCore::onStatementResponses(
     Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendResponse> &responses)
 {
@@ -125,19 +144,7 @@
     BackendResponse &response = responses[connection.payloadIndex];
     const bool isAwaited = session != nullptr && session->pending && session->pending->connection == id;
     if (connection.awaitsBegin && response.code == ResponseCode::Ok) {
-        const bool isValid = isLeaseValid(now, pool, connection) && canUsePrimary(now, pool.record().service);
-        if (connection.confirmsPrimary && isValid) {
-            recordPosition(pool, connection, response);
-        }
-        if (isAwaited && connection.needsLease && !isValid) {
-            connection.session = 0;
-            rollBackConnection(now, connection);
-            retryStatement(now, *session, pool, ResponseCode::Busy);
-        } else if (isAwaited) {
-            sendAfterBegin(now, *session, connection);
-        } else {
-            rollBackConnection(now, connection);
-        }
+        onBeginResponse(now, pool, connection, response, isAwaited ? session : nullptr);
         return;
     }
     if (response.code == ResponseCode::Ok && response.signature.empty()) {
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -30,16 +30,20 @@
         return;
     }
     metrics_.add("leaderships_total");
-    // Another leader may have granted quotas and promoted servers in the meantime, so earlier knowledge is discarded.
-    entries_.reset(now, term);
-    leases_.reset(now);
-    lastHeartbeatAt_.clear();
-    lastHeartbeat_.clear();
+    // The ages of probes and confirmations include the time without leadership.
     monitors_.clear();
     failingOver_.clear();
     serviceByProbe_.clear();
     removalProposedAt_.clear();
     leaderSince_ = now;
+    // In the same term no other VM can have led. Quotas and leases that this one granted still count.
+    if (std::exchange(ledTerm_, term) == term) {
+        return;
+    }
+    entries_.reset(now, term);
+    leases_.reset(now);
+    lastHeartbeatAt_.clear();
+    lastHeartbeat_.clear();
     // A promotion that a former leader has decided may take effect at any time, so that no update may lift its
     // withdrawal.
     for (const auto &[service, promotion] : state_.pendingPromotions()) {
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -337,3 +337,32 @@
     CHECK_EQUAL(supervisor.snapshot(), copy->encode());
     CHECK(!SupervisionState::decode("damaged").has_value());
 }
+
+// A leader under load may lose its lease for a moment. If it forgot the quotas that it had granted, it would grant the
+// same connections to other entries.
+TEST(Supervisor, LeaderThatRegainsItsLeaseKeepsGrantedQuotas)
+{
+    startService();
+    const auto report = [this](const char *entry, std::uint64_t sequence) {
+        EntryReport message;
+        message.runId = 1;
+        message.sequence = sequence;
+        message.requestedQuotas.push_back({ BackendId { "b0" }, 14 });
+        updates.clear();
+        supervisor.onReport(now, VmId { entry }, message);
+        performActions();
+        std::uint32_t granted = 0;
+        for (const ConnectionQuota &quota : updates.back().quotas) {
+            granted += quota.backend == BackendId { "b0" } ? quota.connections : 0;
+        }
+        return granted;
+    };
+    advance(1s);
+    const std::uint32_t first = report("e1", 1);
+    CHECK(first > 7);
+    supervisor.onLeadership(now, false, 1, {});
+    supervisor.onLeadership(now, true, 1, { VmId { "c" } });
+    performActions();
+    const std::uint32_t second = report("e2", 1);
+    CHECK(first + second <= 16 - ReservedConnections);
+}
