--- a/unittests/fencing/fencingsimulation.cpp
+++ b/unittests/fencing/fencingsimulation.cpp
@@ -292,7 +292,7 @@
 void FencingSimulation::callPlatform(Control &control, const PromoteThroughPlatform &call)
 {
     if (control.isSuspended) {
-        control.inbox.push_back([this, &control, call]() { callPlatform(control, call); });
+        control.inbox.emplace_back([this, &control, call]() { callPlatform(control, call); });
         return;
     }
     PromotionOutcome outcome = PromotionOutcome::RateLimited;
