Spread homes over all entries that hold connections

Change: holders are chosen by the number of their homes, like other entries. The test fails on the former code (one entry had 20 homes).

--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -45,20 +45,6 @@
     const std::map<VmId, std::size_t> &homeCounts) const
 {
     std::vector<VmId> chosen;
-    const auto add = [&](const VmId &vm) {
-        if (chosen.size() < HomesPerBackend && std::find(chosen.begin(), chosen.end(), vm) == chosen.end()) {
-            chosen.push_back(vm);
-        }
-    };
-    if (const auto found = holders.find(backend.id); found != holders.end()) {
-        for (const bool isLocal : { true, false }) {
-            for (const VmId &vm : found->second) {
-                if (isAvailable(now, vm) && (sessions_.at(vm).report.zone == backend.zone) == isLocal) {
-                    add(vm);
-                }
-            }
-        }
-    }
     const std::uint64_t backendHash = hashText(backend.id.value);
     const auto addFrom = [&](const std::vector<VmId> &candidates) {
         while (chosen.size() < HomesPerBackend) {
@@ -79,6 +65,17 @@
             chosen.push_back(*best);
         }
     };
+    std::vector<VmId> localHolders;
+    std::vector<VmId> otherHolders;
+    if (const auto found = holders.find(backend.id); found != holders.end()) {
+        for (const VmId &vm : found->second) {
+            if (isAvailable(now, vm)) {
+                (sessions_.at(vm).report.zone == backend.zone ? localHolders : otherHolders).push_back(vm);
+            }
+        }
+    }
+    addFrom(localHolders);
+    addFrom(otherHolders);
     if (const auto local = byZone.find(backend.zone); local != byZone.end()) {
         addFrom(local->second);
     }
--- a/unittests/supervision/entryregistrytest.cpp
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -136,3 +136,33 @@
         }
     }
 }
+
+// When an added entry makes connections scarce, every entry holds some. The homes must not all go to the same few.
+TEST(EntryRegistry, HomesAreSpreadWhenAllEntriesHoldConnections)
+{
+    constexpr int Servers = 20;
+    constexpr int Entries = 20;
+    for (int index = 0; index < Servers; ++index) {
+        const std::string id = "x" + std::to_string(index);
+        state.apply(static_cast<std::uint64_t>(index) + 4,
+            RecordBackend { { BackendId { id }, 1, ServiceId { "s" }, "10.0.1." + std::to_string(index), 80, {}, 2,
+                false, false } });
+    }
+    for (int entry = 0; entry < Entries; ++entry) {
+        EntryReport report;
+        report.runId = 1;
+        report.sequence = ++sequence;
+        for (int index = 0; index < Servers; ++index) {
+            report.heldQuotas.push_back({ BackendId { "x" + std::to_string(index) }, 2 });
+        }
+        registry.recordReport(now, VmId { "e" + std::to_string(entry) }, report);
+    }
+    registry.assignHomes(now, state);
+    std::map<VmId, std::size_t> counts;
+    for (const BackendHomes &homes : registry.homesSince(0).homes) {
+        for (const VmId &home : homes.entries) {
+            CHECK(++counts[home] <= 3);
+        }
+    }
+    CHECK(counts.size() >= Entries - 2);
+}
