--- a/include/daisyrelay/base.h
+++ b/include/daisyrelay/base.h
@@ -7,4 +7,5 @@
 #include "daisyrelay/base/ids.h"
 #include "daisyrelay/base/latencystats.h"
 #include "daisyrelay/base/randomnumber.h"
+#include "daisyrelay/base/stablehash.h"
 #include "daisyrelay/base/time.h"
--- a/include/daisyrelay/base/ids.h
+++ b/include/daisyrelay/base/ids.h
@@ -13,6 +13,7 @@
 using GroupId = StrongId<struct GroupIdTag>;
 using ClassId = StrongId<struct ClassIdTag>;
 using BackendId = StrongId<struct BackendIdTag>;
+using WorkspaceId = StrongId<struct WorkspaceIdTag>;
 using IdempotencyKey = StrongId<struct IdempotencyKeyTag>;
 using TransactionId = StrongId<struct TransactionIdTag>;
 
--- a/include/daisyrelay/config/nodesettings.h
+++ b/include/daisyrelay/config/nodesettings.h
@@ -7,6 +7,14 @@
 
 namespace daisyrelay {
 
+/// How far the operations of a workspace may exceed its rate limit in a sliding window:
+/// (rate * window + burst) * (1 + excess) + slack.
+struct RateLimitTolerance {
+    std::chrono::milliseconds window { 5000 };
+    double excess = 0;
+    double slack = 0; ///< Operations.
+};
+
 struct NodeSettings {
     VmId id; ///< The address at which other VMs reach its peer port.
     std::string name; ///< Identifies the process in logs and to the platform.
@@ -26,6 +34,10 @@
     std::string dataFolder; ///< Required if control is true.
     /// Leases are safe on every platform, so they are used unless the platform is known to fence.
     FencingPolicy fencing = FencingPolicy::Leases;
+    /// A key that was withdrawn longer ago than this opens nothing, even on a VM that cannot reach control. Zero if the
+    /// VM may go on with the configuration that it has.
+    std::chrono::milliseconds revocationBound { 0 };
+    RateLimitTolerance rateLimits;
     std::uint32_t toleratedFailures = 1; ///< Number of control VMs that may fail at the same time.
     /// Time between the termination signal and the end of the process.
     std::chrono::milliseconds shutdownGrace { 6000 };
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -28,6 +28,7 @@
 
     ConnectionId id = 0;
     BackendId backend;
+    WorkspaceId workspace; ///< Only statements of this workspace may run here; empty without workspaces.
     State state = State::Opening;
     Purpose purpose = Purpose::Statement;
     SessionId session = 0; ///< Session whose statement or transaction runs here; zero if there is none.
@@ -37,6 +38,7 @@
     std::set<std::string> prepared; ///< Names of the statements prepared at the backend server.
     std::vector<StatementType> sentTypes; ///< Types of the statements of the exchange, in the order sent.
     std::size_t payloadIndex = 0; ///< Index in the exchange of the caller's statement or of the BEGIN sent before it.
+    bool isInTransaction = false; ///< The exchange in flight belongs to a transaction, which keeps the connection.
     bool awaitsBegin = false; ///< The exchange carries only the BEGIN; the statement follows if that succeeds.
     bool needsLease = false; ///< The statement or transaction is valid only while the lease on the primary is.
     bool confirmsPrimary = false; ///< Success of the exchange confirms that the server is the primary.
@@ -61,15 +63,26 @@
     [[nodiscard]] bool canOpen(Instant now) const;
 
     /// Adds a connection that is being opened.
-    BackendConnection &addConnection(Instant now, ConnectionId id);
+    BackendConnection &addConnection(Instant now, ConnectionId id, const WorkspaceId &workspace = {});
     void onOpened(Instant now, ConnectionId id);
 
     /// Removes a connection. A connection that could not be opened delays the next attempt exponentially.
     void onLost(Instant now, ConnectionId id, ConnectionLoss loss);
 
-    /// Returns an idle connection, or null. Prefers connections that have exactly \p values set, and among equals the
-    /// most recently used one.
-    BackendConnection *findIdle(const std::map<std::string, std::string> &values);
+    /// Returns an idle connection of \p workspace, or null. Prefers connections that have exactly \p values set, and
+    /// among equals the most recently used one.
+    BackendConnection *findIdle(const std::map<std::string, std::string> &values, const WorkspaceId &workspace);
+
+    /// Returns an idle connection of any workspace for a statement of the proxy itself, or null. Prefers one that
+    /// belongs to no workspace.
+    BackendConnection *findIdleForProxy();
+
+    /// Returns the idle connection to close so that \p workspace can open one: one that belongs to no workspace, or the
+    /// least recently used one of another workspace.
+    [[nodiscard]] std::optional<ConnectionId> findEvictable(const WorkspaceId &workspace) const;
+
+    /// Returns whether the backoff permits opening a connection, if there is room for one.
+    [[nodiscard]] bool isOpeningAllowed(Instant now) const;
 
     /// Returns the connection \p id, or null.
     BackendConnection *find(ConnectionId id);
@@ -110,8 +123,8 @@
     /// Returns the idle connections to close in order to meet the quota.
     [[nodiscard]] std::vector<ConnectionId> connectionsAboveQuota() const;
 
-    /// Returns a connection that has been idle for ProxyTiming::idleConnectionTimeout, if another one is idle too.
-    [[nodiscard]] std::optional<ConnectionId> unneededConnection(Instant now) const;
+    /// Returns a connection that has been idle for longer than \p timeout, if another one is idle too.
+    [[nodiscard]] std::optional<ConnectionId> unneededConnection(Instant now, Duration timeout) const;
 
     /// Returns the number of connections, including those being opened.
     [[nodiscard]] std::size_t openCount() const;
@@ -120,6 +133,13 @@
     [[nodiscard]] std::size_t idleCount() const;
     [[nodiscard]] std::size_t openingCount() const;
 
+    /// Returns the number of connections of \p workspace in any state.
+    [[nodiscard]] std::size_t openCount(const WorkspaceId &workspace) const;
+    [[nodiscard]] std::size_t idleCount(const WorkspaceId &workspace) const;
+    /// Returns the number of connections of \p workspace that will be free soon: those being opened and those that run
+    /// a statement outside a transaction.
+    [[nodiscard]] std::size_t soonFreeCount(const WorkspaceId &workspace) const;
+
     /// Returns the expected latency of one more statement, including the load on the server's slots.
     [[nodiscard]] Duration estimateCost() const;
 
--- a/include/daisyrelay/proxy/primarylease.h
+++ b/include/daisyrelay/proxy/primarylease.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "daisyrelay/base.h"
+#include "daisyrelay/proxy/sentreports.h"
 #include "daisyrelay/wire.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -59,14 +59,9 @@
         bool isReleased = false;
     };
 
-    struct SentReport {
-        std::uint64_t sequence = 0;
-        Instant sentAt {};
-    };
-
     FencingPolicy policy_;
     std::optional<Instant> expiresAt_;
-    std::deque<SentReport> sentReports_; ///< Recent reports, oldest first.
+    SentReports sentReports_;
     std::map<ServiceId, Withdrawal> withdrawals_;
 };
 
--- a/include/daisyrelay/proxy/proxyactions.h
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -39,6 +39,7 @@
     ConnectionId connection = 0;
     BackendRecord backend;
     Duration timeout {};
+    WorkspaceId workspace; ///< Workspace whose statements the connection runs; empty for the proxy itself.
 };
 
 struct CloseBackendConnection {
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "daisyrelay/proxy/backendpool.h"
+#include "daisyrelay/proxy/configurationlease.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
 #include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
 #include "daisyrelay/proxy/proxytiming.h"
 #include "daisyrelay/proxy/session.h"
+#include "daisyrelay/proxy/workspacedirectory.h"
 #include "daisyrelay/telemetry.h"
 
 #include <map>
@@ -26,14 +28,17 @@
 {
 public:
     /// \p sessionIdBase is added to the session identifiers sent to other entries. It must differ between runs of one
-    /// VM, so that other entries do not confuse sessions of different runs.
+    /// VM, so that other entries do not confuse sessions of different runs. \p revocationBound limits the use of a
+    /// configuration that control has not confirmed as the newest; zero disables the limit.
     ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase = 0, ProxyTiming timing = {},
-        FencingPolicy fencing = FencingPolicy::Platform);
+        FencingPolicy fencing = FencingPolicy::Platform, Duration revocationBound = Duration::zero());
 
     /// Applies an update from the leader of the control VMs.
     void onControlUpdate(Instant now, const EntryUpdate &update);
 
-    void onSessionOpened(Instant now, SessionId session, const std::string &database);
+    /// \p key identifies the workspace of the caller; empty if the caller sent none.
+    void onSessionOpened(
+        Instant now, SessionId session, const std::string &database, const std::string &key = std::string());
     void onStatement(Instant now, SessionId session, Statement statement);
 
     /// Called when the caller has disconnected or sent malformed data.
@@ -63,7 +68,7 @@
     void drain(Instant now, Duration grace);
 
     /// Returns whether the load balancer may send callers to this entry.
-    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] bool isReady(Instant now) const;
 
     /// Returns whether sessions are closed when idle: the entry drains or is isolated, and the load balancer has had
     /// time to notice.
@@ -116,12 +121,21 @@
     struct OpeningSession {
         SessionId id = 0;
         std::string database;
+        std::string key;
         Instant deadline {};
     };
 
+    /// Why a caller may not run a statement now.
+    struct AccessDenial {
+        ResponseCode code = ResponseCode::Unauthorized;
+        std::string_view reason;
+        Duration retryAfter {}; ///< Zero if a retry cannot help.
+    };
+
     enum class Placement : std::uint8_t {
         Started,
         Waiting, ///< Stays queued until a connection is free or the time of the next attempt has come.
+        WaitingForWorkspace, ///< Waits for a connection of its workspace; other workspaces need not wait.
         Rejected,
     };
 
@@ -146,7 +160,30 @@
     [[nodiscard]] bool isLeaseValid(Instant now, const BackendPool &pool, const BackendConnection &connection) const;
     Placement waitForLease(Instant now, Session &session, const Service &service);
 
+    // access.cpp
+    /// Finds the workspace of the caller's key in the current configuration.
+    [[nodiscard]] std::optional<AccessDenial> checkKey(
+        Instant now, const std::string &key, const DatabaseRoute &route, WorkspaceId &workspace) const;
+    void rejectSession(Instant now, SessionId session, const std::string &database, const AccessDenial &denial);
+    [[nodiscard]] static std::string describeDenial(const AccessDenial &denial);
+    /// Returns how long ago the configuration was the newest one; negative if that was never confirmed.
+    [[nodiscard]] Duration configurationAge(Instant now) const;
+    /// Returns whether the session may run the next statement. Outside a transaction, the session moves to the workspace
+    /// that holds its key now. A statement that is denied gets its response here.
+    bool admitStatement(Instant now, Session &session, const Statement &statement);
+    void denyStatement(Instant now, Session &session, const Statement &statement, const AccessDenial &denial);
+    void endRevokedSessions(Instant now);
+
+    // workspaceconnections.cpp
+    void openForWorkspace(Instant now, BackendPool &pool, const WorkspaceId &workspace, std::size_t queued);
+    [[nodiscard]] std::size_t countQueued(
+        const Service &service, const WorkspaceId &workspace, bool needsPrimary) const;
+    [[nodiscard]] const VmId *chooseWorkspaceHome(
+        Instant now, const std::vector<VmId> &homes, const WorkspaceId &workspace) const;
+
     // statements.cpp
+    /// Rolls the transaction back and rejects all its later statements.
+    void failTransaction(Instant now, Session &session);
     void respondLocally(Session &session, ResponseCode code = ResponseCode::Ok, std::string detail = {});
     void updateSessionNames(Session &session, const Statement &statement);
     void beginTransaction(Instant now, Session &session, const Statement &statement);
@@ -163,16 +200,17 @@
     Placement placeStatement(Instant now, Session &session, Service &service);
     Placement placeAtPrimary(Instant now, Session &session, Service &service);
     Placement placeRead(Instant now, Session &session, Service &service, const LogPoint &minPoint);
-    Placement rejectIfWaitTooLong(Instant now, Session &session, Duration predictedWait);
+    /// \p hasServerCapacity tells whether the server has room for other workspaces than the one of the session.
+    Placement waitOrReject(Instant now, Session &session, Duration predictedWait, bool hasServerCapacity);
     [[nodiscard]] std::size_t countAhead(const Session &session, const Service &service, bool onlyForPrimary) const;
     [[nodiscard]] Duration predictReadWait(
         Instant now, const Session &session, const Service &service, const LogPoint &minPoint) const;
-    BackendPool *cheapestPool(Instant now, const PendingStatement &pending, const Service &service,
-        const LogPoint &minPoint, bool idleOnly, bool isForwarded);
+    BackendPool *cheapestPool(
+        Instant now, const Session &session, const Service &service, const LogPoint &minPoint, bool idleOnly);
     [[nodiscard]] std::optional<LogPoint> minPointFor(
         const Session &session, const PendingStatement &pending, const Service &service) const;
-    void openConnection(Instant now, BackendPool &pool);
-    void openForDemand(Instant now, BackendPool &pool, std::size_t demand);
+    void openConnection(Instant now, BackendPool &pool, const WorkspaceId &workspace);
+    void openForDemand(Instant now, BackendPool &pool, std::size_t demand, const WorkspaceId &workspace);
     void requestQuota(Instant now, const Service &service);
     void reject(Instant now, Session &session, ResponseCode code, std::string_view reason, Duration retryAfter);
 
@@ -180,7 +218,7 @@
     Placement placeRemotely(Instant now, Session &session, Service &service, bool needsPrimary);
     const BackendId *chooseRemoteServer(
         Instant now, const PendingStatement &pending, const Service &service, bool needsPrimary) const;
-    const VmId *chooseHome(Instant now, const BackendId &backend) const;
+    const VmId *chooseHome(Instant now, const BackendId &backend, const WorkspaceId &workspace) const;
     void forwardToHome(Instant now, Session &session, const VmId &home, bool needsPrimary);
     void endForwarded(Session &session);
     void completeForwarded(Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message);
@@ -246,6 +284,9 @@
     Metrics &metrics_;
     ProxyTiming timing_;
     RouteConfiguration configuration_;
+    std::shared_ptr<const WorkspaceDirectory> directory_; ///< Of the configuration in force.
+    ConfigurationLease configurationLease_;
+    std::uint64_t newestVersion_ = 0; ///< Highest configuration version that control has named.
     Topology topology_; ///< Only the index is used; pools and services hold the rest.
     std::uint64_t controlTopologyIndex_ = 0; ///< Index that control had at its last update.
     /// Backend servers with a quota, connections or recent demand, and possibly others.
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -64,6 +64,13 @@
     /// Idle connections beyond one are closed after this time. Those of a VM that loses power count against the
     /// server's connection limit when the VM starts again.
     Duration idleConnectionTimeout = std::chrono::seconds(3);
+    /// The same for connections that belong to a workspace. Fewer statements can use each of them, so they are kept for
+    /// longer, and closed earlier if another workspace needs the room.
+    Duration idleWorkspaceConnectionTimeout = std::chrono::seconds(20);
+    /// A session is idle if nothing has happened for this time; a request in flight has arrived by then.
+    Duration minIdleTime = std::chrono::milliseconds(50);
+    /// When callers whose key could not be checked may try again: a restarted entry has a configuration by then.
+    Duration unconfirmedRetryAfter = std::chrono::milliseconds(500);
     /// How long a draining server is still used if no other server can run a statement. A server drains for seven
     /// seconds.
     Duration maxDrainingUse = std::chrono::milliseconds(3000);
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -84,6 +84,8 @@
     std::optional<ForwardingOrigin> origin; ///< Set if the session's caller is connected to another entry.
     std::uint64_t generation = 0; ///< Generation of the primary that ran the last statement; zero for a replica.
     std::string database;
+    std::string key; ///< Identifies the caller's workspace; empty in forwarded sessions.
+    WorkspaceId workspace; ///< Empty if the configuration requires no keys, or the database is public.
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared;
     std::optional<LastWrite> lastWrite;
--- a/include/daisyrelay/runtime/platformhooks.h
+++ b/include/daisyrelay/runtime/platformhooks.h
@@ -18,6 +18,7 @@
 /// First message of a caller; opens its session.
 struct SessionStart {
     std::string database;
+    std::string key; ///< Identifies the caller's workspace; empty if the message has none.
 };
 
 /// Last message of a caller; closes its session.
@@ -69,7 +70,8 @@
     std::function<void(std::string &out)> encodeGreeting;
     std::function<void(std::string &out, ResponseCode code, std::string_view detail)> encodeRejection;
     std::function<void(std::string &out, const CallerResponse &response)> encodeResponse;
-    std::function<void(std::string &out, const BackendRecord &backend)> encodeOpenConnection;
+    std::function<void(std::string &out, const BackendRecord &backend, const WorkspaceId &workspace)>
+        encodeOpenConnection;
     std::function<void(std::string &out, const Statement &statement)> encodeStatement;
     std::function<void(std::string &out)> encodeCloseConnection;
     std::function<Decoded<BackendMessage>(std::string_view bytes)> decodeBackendMessage;
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -75,6 +75,9 @@
 /// all of them.
 constexpr std::size_t MinDirectConnections = 2;
 
+/// The same where connections belong to workspaces, of which there are at least as many.
+constexpr std::size_t MinDirectConnectionsWithWorkspaces = 12;
+
 /// If there are more backend servers, an entry gets connections only to those that it requests.
 constexpr std::size_t MaxBackendsWithShares = 128;
 
--- a/include/daisyrelay/wire/forwardingmessages.h
+++ b/include/daisyrelay/wire/forwardingmessages.h
@@ -16,6 +16,7 @@
     std::uint64_t sessionId = 0; ///< Session identifier at the sender.
     std::uint64_t sequence = 0; ///< Increases with each request of the sender.
     DatabaseRoute route; ///< Route in force at the sender.
+    WorkspaceId workspace; ///< Workspace of the session; empty if the configuration requires no keys.
     Statement statement;
     bool inTransaction = false;
     bool beginsTransaction = false; ///< First statement of the transaction.
@@ -32,7 +33,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sessionId, sequence, route, statement, inTransaction, beginsTransaction, isReadOnly, needsPrimary,
+        archive(sessionId, sequence, route, workspace, statement, inTransaction, beginsTransaction, isReadOnly, needsPrimary,
             values, isPreparedWrite, preparedShape, lastWrite, lastWriteGeneration, remainingTimeout, maxQueueTime);
     }
 };
--- a/include/daisyrelay/wire/routeconfiguration.h
+++ b/include/daisyrelay/wire/routeconfiguration.h
@@ -26,13 +26,14 @@
     std::chrono::milliseconds timeout { 0 }; ///< Timeout of one statement.
     std::chrono::milliseconds latencyTarget { 0 }; ///< Latency that callers expect of a whole operation.
     std::uint32_t priority = 0; ///< Zero is the most urgent.
+    bool isPublic = false; ///< Callers need no key.
 
     bool operator==(const DatabaseRoute &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(database, service, guarantee, maxStaleness, timeout, latencyTarget, priority);
+        archive(database, service, guarantee, maxStaleness, timeout, latencyTarget, priority, isPublic);
     }
 };
 
@@ -51,11 +52,30 @@
     }
 };
 
+/// A group of callers that share keys and a rate limit.
+struct Workspace {
+    WorkspaceId name; ///< Told to the backend servers that run statements of the workspace.
+    std::vector<std::string> keys; ///< Secrets that identify callers. Never logged and never sent to backend servers.
+    std::uint32_t priority = 0; ///< Zero is the most urgent.
+    std::uint32_t operationsPerSecond = 0; ///< Rate limit over all entries; zero disables the limit.
+    std::uint32_t burst = 0; ///< Operations beyond the rate that may run at once.
+
+    bool operator==(const Workspace &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, keys, priority, operationsPerSecond, burst);
+    }
+};
+
 /// A complete configuration; the highest version is in force.
 struct RouteConfiguration {
     std::uint64_t version = 0; ///< Zero means that there is no configuration.
     std::vector<DatabaseRoute> routes;
     std::vector<ServiceLimits> services;
+    std::vector<Workspace> workspaces;
+    bool requiresKeys = false; ///< Whether callers must identify their workspace, except on public routes.
     std::chrono::milliseconds transactionIdleTimeout { 0 }; ///< Idle transactions are rolled back after this time; zero
                                                             ///< disables the timeout.
     std::uint64_t maxMessageBytes = 0; ///< Maximum size of one statement; zero applies the limit of the protocol.
@@ -65,7 +85,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(version, routes, services, transactionIdleTimeout, maxMessageBytes);
+        archive(version, routes, services, workspaces, requiresKeys, transactionIdleTimeout, maxMessageBytes);
     }
 };
 
--- a/include/daisyrelay/wire/sessionstatement.h
+++ b/include/daisyrelay/wire/sessionstatement.h
@@ -58,6 +58,7 @@
     UnknownStatement,
     BadMessage,
     UnknownDatabase,
+    Unauthorized, ///< No workspace has the caller's key.
     // The statement ran, or may have run.
     Failed,
     TimedOut,
--- a/lib/config/nodesettings.cpp
+++ b/lib/config/nodesettings.cpp
@@ -66,7 +66,8 @@
     NodeSettings settings;
     if (!reader.checkMap(root, "",
             { "address", "name", "zone", "listen", "peer_port", "seeds", "founding", "data_folder", "tolerated",
-                "grace", "platform", "platform_fences", "metrics_port", "log_budget", "reached_at" })) {
+                "grace", "platform", "platform_fences", "metrics_port", "log_budget", "reached_at", "fail_closed",
+                "revoked_within", "limit_window", "limit_excess", "limit_slack" })) {
         return settings;
     }
     settings.id = VmId { reader.requireString(root, "address") };
@@ -82,6 +83,16 @@
     settings.canBootstrap = reader.readBool(root, "founding", false);
     settings.fencing
         = reader.readBool(root, "platform_fences", false) ? FencingPolicy::Platform : FencingPolicy::Leases;
+    if (reader.readBool(root, "fail_closed", false)) {
+        constexpr std::chrono::milliseconds DefaultRevocationBound { 5000 };
+        settings.revocationBound = reader.readDuration(root, "revoked_within", DefaultRevocationBound);
+        if (settings.revocationBound.count() <= 0) {
+            reader.fail(root["revoked_within"], "revoked_within", "must be above 0");
+        }
+    }
+    settings.rateLimits.window = reader.readDuration(root, "limit_window", settings.rateLimits.window);
+    settings.rateLimits.excess = reader.readDecimal(root, "limit_excess", settings.rateLimits.excess);
+    settings.rateLimits.slack = reader.readDecimal(root, "limit_slack", settings.rateLimits.slack);
     settings.toleratedFailures = reader.readNumber(root, "tolerated", settings.toleratedFailures);
     settings.shutdownGrace = reader.readDuration(root, "grace", settings.shutdownGrace);
     settings.metricsPort = reader.readPort(root, "metrics_port", 0);
--- a/lib/config/yamlreader.cpp
+++ b/lib/config/yamlreader.cpp
@@ -2,6 +2,7 @@
 
 #include "daisyrelay/config/configurationcodec.h"
 
+#include <cmath>
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -129,6 +130,20 @@
     return value;
 }
 
+double YamlReader::readDecimal(const YAML::Node &parent, const std::string &key, double fallback)
+{
+    const YAML::Node node = parent[key];
+    if (!node) {
+        return fallback;
+    }
+    double value = fallback;
+    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || !std::isfinite(value) || value < 0) {
+        fail(node, key, "must be a number of at least 0");
+        return fallback;
+    }
+    return value;
+}
+
 std::uint16_t YamlReader::readPort(const YAML::Node &parent, const std::string &key, std::uint16_t fallback)
 {
     const std::uint32_t value = readNumber(parent, key, fallback);
--- a/lib/config/yamlreader.h
+++ b/lib/config/yamlreader.h
@@ -30,6 +30,8 @@
     Endpoint readEndpoint(const YAML::Node &parent, const std::string &key);
     std::uint16_t readPort(const YAML::Node &parent, const std::string &key, std::uint16_t fallback);
     std::uint32_t readNumber(const YAML::Node &parent, const std::string &key, std::uint32_t fallback);
+    /// Reads a number of at least zero that may have a fraction.
+    double readDecimal(const YAML::Node &parent, const std::string &key, double fallback);
     std::chrono::milliseconds readDuration(
         const YAML::Node &parent, const std::string &key, std::chrono::milliseconds fallback);
 
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -43,14 +43,20 @@
 
 bool BackendPool::canOpen(Instant now) const
 {
-    return connections_.size() < quota_ && now >= retryAt_ && (openFailures_ == 0 || openingCount() == 0);
+    return connections_.size() < quota_ && isOpeningAllowed(now);
 }
 
-BackendConnection &BackendPool::addConnection(Instant now, ConnectionId id)
+bool BackendPool::isOpeningAllowed(Instant now) const
+{
+    return now >= retryAt_ && (openFailures_ == 0 || openingCount() == 0);
+}
+
+BackendConnection &BackendPool::addConnection(Instant now, ConnectionId id, const WorkspaceId &workspace)
 {
     BackendConnection &connection = connections_[id];
     connection.id = id;
     connection.backend = record_.id;
+    connection.workspace = workspace;
     connection.stateSince = now;
     connection.deadline = now + timing_.connectTimeout;
     return connection;
@@ -82,12 +88,13 @@
     ++openFailures_;
 }
 
-BackendConnection *BackendPool::findIdle(const std::map<std::string, std::string> &values)
+BackendConnection *BackendPool::findIdle(
+    const std::map<std::string, std::string> &values, const WorkspaceId &workspace)
 {
     BackendConnection *best = nullptr;
     bool bestMatches = false;
     for (auto &[id, connection] : connections_) {
-        if (connection.state != BackendConnection::State::Idle) {
+        if (connection.state != BackendConnection::State::Idle || connection.workspace != workspace) {
             continue;
         }
         const bool matches = connection.values == values;
@@ -101,6 +108,35 @@
     return best;
 }
 
+BackendConnection *BackendPool::findIdleForProxy()
+{
+    BackendConnection *best = nullptr;
+    for (auto &[id, connection] : connections_) {
+        const auto key = [](const BackendConnection &candidate) {
+            return std::pair(candidate.workspace.empty(), candidate.stateSince);
+        };
+        if (connection.state == BackendConnection::State::Idle && (best == nullptr || key(connection) > key(*best))) {
+            best = &connection;
+        }
+    }
+    return best;
+}
+
+std::optional<ConnectionId> BackendPool::findEvictable(const WorkspaceId &workspace) const
+{
+    const BackendConnection *best = nullptr;
+    for (const auto &[id, connection] : connections_) {
+        const auto key = [](const BackendConnection &candidate) {
+            return std::pair(!candidate.workspace.empty(), candidate.stateSince);
+        };
+        if (connection.state == BackendConnection::State::Idle && connection.workspace != workspace
+            && (best == nullptr || key(connection) < key(*best))) {
+            best = &connection;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->id);
+}
+
 BackendConnection *BackendPool::find(ConnectionId id)
 {
     const auto found = connections_.find(id);
@@ -184,7 +220,7 @@
     return isLagging(now) && appliedPoint_ < point;
 }
 
-std::optional<ConnectionId> BackendPool::unneededConnection(Instant now) const
+std::optional<ConnectionId> BackendPool::unneededConnection(Instant now, Duration timeout) const
 {
     const auto oldest
         = std::min_element(connections_.begin(), connections_.end(), [](const auto &left, const auto &right) {
@@ -193,7 +229,7 @@
               };
               return key(left.second) < key(right.second);
           });
-    const bool isSpare = idleCount() > 1 && now - oldest->second.stateSince > timing_.idleConnectionTimeout;
+    const bool isSpare = idleCount() > 1 && now - oldest->second.stateSince > timeout;
     return isSpare ? std::optional(oldest->first) : std::nullopt;
 }
 
@@ -235,6 +271,32 @@
         [](const auto &entry) { return entry.second.state == BackendConnection::State::Opening; }));
 }
 
+std::size_t BackendPool::openCount(const WorkspaceId &workspace) const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+        [&workspace](const auto &entry) { return entry.second.workspace == workspace; }));
+}
+
+std::size_t BackendPool::idleCount(const WorkspaceId &workspace) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [&workspace](const auto &entry) {
+            return entry.second.workspace == workspace && entry.second.state == BackendConnection::State::Idle;
+        }));
+}
+
+std::size_t BackendPool::soonFreeCount(const WorkspaceId &workspace) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [&workspace](const auto &entry) {
+            const BackendConnection &connection = entry.second;
+            const bool isRunning
+                = connection.state == BackendConnection::State::Busy && !connection.isInTransaction;
+            return connection.workspace == workspace
+                && (isRunning || connection.state == BackendConnection::State::Opening);
+        }));
+}
+
 Duration BackendPool::meanTime() const
 {
     return serviceTime_.mean() == Duration::zero() ? DefaultServiceTime : serviceTime_.mean();
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -57,6 +57,7 @@
     Service &service = serviceOf(id);
     bool primaryIsFull = false;
     bool replicasAreFull = false;
+    std::set<std::pair<bool, WorkspaceId>> waitingWorkspaces;
     for (const bool placesLate : { false, true }) {
         for (auto at = service.queue.begin(); at != service.queue.end() && !(primaryIsFull && replicasAreFull);) {
             const auto current = at++;
@@ -64,10 +65,15 @@
             const PendingStatement &pending = *session.pending;
             const bool needsPrimary = pending.needsPrimary;
             const bool isLate = now - pending.arrivedAt > pending.route->latencyTarget * timing_.onTimeFraction;
-            if (isLate != placesLate || pending.retryAt > now || (needsPrimary ? primaryIsFull : replicasAreFull)) {
+            if (isLate != placesLate || pending.retryAt > now || (needsPrimary ? primaryIsFull : replicasAreFull)
+                || waitingWorkspaces.contains({ needsPrimary, session.workspace })) {
                 continue;
             }
-            if (placeStatement(now, session, service) == Placement::Waiting && session.pending) {
+            const WorkspaceId workspace = session.workspace;
+            const Placement placement = placeStatement(now, session, service);
+            if (placement == Placement::WaitingForWorkspace) {
+                waitingWorkspaces.emplace(needsPrimary, workspace);
+            } else if (placement == Placement::Waiting && session.pending) {
                 (needsPrimary ? primaryIsFull : replicasAreFull) = session.pending->triedBackends.empty();
             }
         }
@@ -130,23 +136,28 @@
         reject(now, session, ResponseCode::Busy, "no-primary", FailoverRetryAfter);
         return Placement::Rejected;
     }
-    if (BackendConnection *connection = pool->hasCapacity(now) ? pool->findIdle(session.values) : nullptr;
+    if (BackendConnection *connection
+        = pool->hasCapacity(now) ? pool->findIdle(session.values, session.workspace) : nullptr;
         connection != nullptr) {
         sendStatement(now, session, *pool, *connection, std::nullopt);
         return Placement::Started;
     }
     if (pool->hasCapacity(now)) {
         // A read without a minimum position needs the primary, too, but is not counted.
-        openForDemand(now, *pool, std::max<std::size_t>(service.queuedForPrimary, 1));
+        const std::size_t queued = directory_->requiresKeys() ? countQueued(service, session.workspace, true)
+                                                              : service.queuedForPrimary;
+        openForDemand(now, *pool, std::max<std::size_t>(queued, 1), session.workspace);
     }
-    return rejectIfWaitTooLong(now, session, pool->predictWait(now, countAhead(session, service, true) + 1));
+    const bool hasCapacity = pool->hasCapacity(now);
+    return waitOrReject(now, session, pool->predictWait(now, countAhead(session, service, true) + 1), hasCapacity);
 }
 
 // A caller that is rejected immediately can retry within its own timeout.
-ProxyCore::Placement ProxyCore::rejectIfWaitTooLong(Instant now, Session &session, Duration predictedWait)
+ProxyCore::Placement ProxyCore::waitOrReject(
+    Instant now, Session &session, Duration predictedWait, bool hasServerCapacity)
 {
     if (session.pending->arrivedAt != now || now + predictedWait <= session.pending->queueDeadline) {
-        return Placement::Waiting;
+        return hasServerCapacity && directory_->requiresKeys() ? Placement::WaitingForWorkspace : Placement::Waiting;
     }
     reject(now, session, ResponseCode::Busy, "queue-too-long", predictedWait);
     return Placement::Rejected;
@@ -182,9 +193,11 @@
     return statementsPerTick > 0 ? Duration(static_cast<Duration::rep>(ahead / statementsPerTick)) : Duration::zero();
 }
 
-BackendPool *ProxyCore::cheapestPool(Instant now, const PendingStatement &pending, const Service &service,
-    const LogPoint &minPoint, bool idleOnly, bool isForwarded)
+BackendPool *ProxyCore::cheapestPool(
+    Instant now, const Session &session, const Service &service, const LogPoint &minPoint, bool idleOnly)
 {
+    const PendingStatement &pending = *session.pending;
+    const bool isForwarded = session.origin.has_value();
     BackendPool *best = nullptr;
     Duration bestCost {};
     bool bestIsDraining = false;
@@ -193,7 +206,7 @@
         if (!canRunRead(now, pool, pending.route->service, minPoint) || pending.triedBackends.contains(id)
             || (idleOnly && !pool.hasCapacity(now))
             || (isForwarded && pool.record().isDraining && id != service.primary.backend)
-            || (idleOnly ? pool.idleCount() == 0 : pool.quota() == 0)) {
+            || (idleOnly ? pool.idleCount(session.workspace) == 0 : pool.quota() == 0)) {
             continue;
         }
         Duration cost = pool.estimateCost() + (pool.record().zone == zone_ ? Duration::zero() : timing_.crossZoneCost);
@@ -212,7 +225,7 @@
 
 ProxyCore::Placement ProxyCore::placeRead(Instant now, Session &session, Service &service, const LogPoint &minPoint)
 {
-    BackendPool *preferred = cheapestPool(now, *session.pending, service, minPoint, false, session.origin.has_value());
+    BackendPool *preferred = cheapestPool(now, session, service, minPoint, false);
     if (preferred == nullptr && session.origin) {
         // The entry that forwarded the statement can try other servers.
         reject(now, session, ResponseCode::Lagging, "try-elsewhere", Duration::zero());
@@ -233,16 +246,19 @@
         }
         return Placement::Waiting;
     }
-    BackendPool *chosen = preferred->idleCount() > 0 && preferred->hasCapacity(now)
+    BackendPool *chosen = preferred->idleCount(session.workspace) > 0 && preferred->hasCapacity(now)
         ? preferred
-        : cheapestPool(now, *session.pending, service, minPoint, true, session.origin.has_value());
+        : cheapestPool(now, session, service, minPoint, true);
     if (chosen != preferred && preferred->hasCapacity(now)) {
-        openForDemand(now, *preferred, service.queue.size() - service.queuedForPrimary);
+        const std::size_t queued = directory_->requiresKeys() ? countQueued(service, session.workspace, false)
+                                                              : service.queue.size() - service.queuedForPrimary;
+        openForDemand(now, *preferred, queued, session.workspace);
     }
     if (chosen == nullptr) {
-        return rejectIfWaitTooLong(now, session, predictReadWait(now, session, service, minPoint));
+        const bool hasCapacity = preferred->hasCapacity(now);
+        return waitOrReject(now, session, predictReadWait(now, session, service, minPoint), hasCapacity);
     }
-    sendStatement(now, session, *chosen, *chosen->findIdle(session.values), minPoint);
+    sendStatement(now, session, *chosen, *chosen->findIdle(session.values, session.workspace), minPoint);
     return Placement::Started;
 }
 
@@ -260,11 +276,11 @@
         }
     }
     if (best != nullptr) {
-        openForDemand(now, *best, 1);
+        openForDemand(now, *best, 1, {});
     }
 }
 
-void ProxyCore::openForDemand(Instant now, BackendPool &pool, std::size_t demand)
+void ProxyCore::openForDemand(Instant now, BackendPool &pool, std::size_t demand, const WorkspaceId &workspace)
 {
     pool.recordDemand(now, pool.inUseCount() + demand);
     activePools_.insert(pool.record().id);
@@ -272,17 +288,21 @@
         lastDemandReportAt_ = now;
         actions_.emplace_back(SendReportNow {});
     }
+    if (directory_->requiresKeys()) {
+        openForWorkspace(now, pool, workspace, demand);
+        return;
+    }
     while (pool.openingCount() < demand && pool.canOpen(now)) {
-        openConnection(now, pool);
+        openConnection(now, pool, workspace);
     }
 }
 
-void ProxyCore::openConnection(Instant now, BackendPool &pool)
+void ProxyCore::openConnection(Instant now, BackendPool &pool, const WorkspaceId &workspace)
 {
-    const BackendConnection &connection = pool.addConnection(now, nextConnection_++);
+    const BackendConnection &connection = pool.addConnection(now, nextConnection_++, workspace);
     connections_[connection.id] = pool.record().id;
     metrics_.add("connections_opened_total");
-    actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout });
+    actions_.emplace_back(OpenBackendConnection { connection.id, pool.record(), timing_.connectTimeout, workspace });
 }
 
 void ProxyCore::reject(Instant now, Session &session, ResponseCode code, std::string_view reason, Duration retryAfter)
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -74,6 +74,7 @@
     const bool isGuardedRead = isSingle && !pending.isWrite && !minPoint;
     RunExchange exchange { connection.id, {} };
     appendSessionState(session, pending, connection, exchange.statements);
+    connection.isInTransaction = !isSingle;
     connection.awaitsBegin = pending.role == PendingStatement::Role::First || isGuardedRead;
     connection.payloadIndex = exchange.statements.size();
     if (connection.awaitsBegin) {
@@ -141,12 +142,13 @@
 void ProxyCore::samplePosition(Instant now, Service &service)
 {
     BackendPool *pool = findPool(service.primary.backend);
-    BackendConnection *connection = pool == nullptr ? nullptr : pool->findIdle({});
+    BackendConnection *connection = pool == nullptr ? nullptr : pool->findIdleForProxy();
     if (connection == nullptr || !canUsePrimary(now, pool->record().service)) {
         return;
     }
     service.lastSampledAt = now;
     connection->needsLease = true;
+    connection->isInTransaction = false;
     connection->purpose = BackendConnection::Purpose::Sample;
     connection->deadline = now + timing_.connectTimeout;
     connection->session = 0;
@@ -162,6 +164,7 @@
 void ProxyCore::rollBackConnection(Instant now, BackendConnection &connection)
 {
     connection.needsLease = false;
+    connection.isInTransaction = false;
     connection.purpose = BackendConnection::Purpose::Cleanup;
     connection.session = 0;
     connection.deadline = now + timing_.connectTimeout;
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -26,12 +26,15 @@
         && homes_.contains(service.primary.backend);
 }
 
-const VmId *ProxyCore::chooseHome(Instant now, const BackendId &backend) const
+const VmId *ProxyCore::chooseHome(Instant now, const BackendId &backend, const WorkspaceId &workspace) const
 {
     const auto found = homes_.find(backend);
     if (found == homes_.end()) {
         return nullptr;
     }
+    if (!workspace.empty()) {
+        return chooseWorkspaceHome(now, found->second, workspace);
+    }
     const VmId *best = nullptr;
     std::size_t fewestInFlight = 0;
     for (const VmId &home : found->second) {
@@ -80,7 +83,7 @@
 {
     PendingStatement &pending = *session.pending;
     const BackendId *backend = chooseRemoteServer(now, pending, service, needsPrimary);
-    const VmId *home = backend == nullptr ? nullptr : chooseHome(now, *backend);
+    const VmId *home = backend == nullptr ? nullptr : chooseHome(now, *backend, session.workspace);
     if (home == nullptr) {
         if (backend == nullptr) {
             pending.triedBackends.clear();
@@ -105,6 +108,7 @@
     request.sessionId = sessionIdBase_ + session.id;
     request.sequence = nextSequence_++;
     request.route = *pending.route;
+    request.workspace = session.workspace;
     request.statement = pending.statement;
     request.inTransaction = session.transaction.has_value();
     request.beginsTransaction = pending.role == PendingStatement::Role::First;
@@ -251,6 +255,7 @@
         respondToEntry(session, std::move(response));
         return;
     }
+    session.workspace = request.workspace;
     session.values = { request.values.begin(), request.values.end() };
     session.prepared.clear();
     if (request.statement.type == StatementType::Execute) {
@@ -307,7 +312,7 @@
 
 void ProxyCore::requestPosition(Instant now, const ServiceId &id, Service &service)
 {
-    const VmId *home = chooseHome(now, service.primary.backend);
+    const VmId *home = chooseHome(now, service.primary.backend, {});
     if (home == nullptr || !hasLocalServer(id)) {
         return;
     }
--- a/lib/proxy/primarylease.cpp
+++ b/lib/proxy/primarylease.cpp
@@ -15,21 +15,16 @@
 
 void PrimaryLease::recordReport(Instant now, std::uint64_t sequence)
 {
-    constexpr std::size_t MaxSentReports = 64;
-    sentReports_.push_back({ sequence, now });
-    if (sentReports_.size() > MaxSentReports) {
-        sentReports_.pop_front();
-    }
+    sentReports_.record(now, sequence);
 }
 
 bool PrimaryLease::extend(std::uint64_t sequence, Duration duration)
 {
-    const auto report = std::find_if(sentReports_.begin(), sentReports_.end(),
-        [sequence](const SentReport &sent) { return sent.sequence == sequence; });
-    if (report == sentReports_.end()) {
+    const std::optional<Instant> sentAt = sentReports_.sentAt(sequence);
+    if (!sentAt) {
         return false;
     }
-    const Instant expiresAt = report->sentAt + duration;
+    const Instant expiresAt = *sentAt + duration;
     if (expiresAt_ && expiresAt <= *expiresAt_) {
         return false;
     }
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -7,45 +7,26 @@
 
 std::string_view responseCodeName(ResponseCode code)
 {
-    static constexpr std::array<std::string_view, 13> Names { "ok", "busy", "aborted", "lagging", "not-primary",
-        "wrong-backend", "connection-limit", "unknown-statement", "bad-message", "unknown-database", "failed",
+    static constexpr std::array<std::string_view, 14> Names { "ok", "busy", "aborted", "lagging", "not-primary",
+        "wrong-backend", "connection-limit", "unknown-statement", "bad-message", "unknown-database",
+        "unauthorized", "failed",
         "timed-out", "in-doubt" };
     return Names.at(static_cast<std::size_t>(code));
 }
 
 ProxyCore::ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase, ProxyTiming timing,
-    FencingPolicy fencing)
+    FencingPolicy fencing, Duration revocationBound)
     : zone_(std::move(zone))
     , log_(log)
     , metrics_(metrics)
     , timing_(timing)
+    , directory_(std::make_shared<const WorkspaceDirectory>())
+    , configurationLease_(revocationBound)
     , sessionIdBase_(sessionIdBase)
     , lease_(fencing)
 {
 }
 
-void ProxyCore::onSessionOpened(Instant now, SessionId id, const std::string &database)
-{
-    if (configuration_.version == 0) {
-        // Shortly after a start the configuration is about to arrive. A rejected caller might only reach another
-        // starting entry.
-        openingSessions_.push_back({ id, database, now + timing_.maxConfigurationWait });
-        return;
-    }
-    if (!routes_.contains(database)) {
-        log_.log(now, "session.rejected",
-            { { "database", std::string_view(database) }, { "config_version", configuration_.version } });
-        metrics_.add("sessions_rejected_total");
-        actions_.emplace_back(RejectSession { id, ResponseCode::UnknownDatabase, database });
-        return;
-    }
-    Session &session = sessions_[id];
-    session.id = id;
-    session.database = database;
-    session.lastActiveAt = now;
-    actions_.emplace_back(AcceptSession { id });
-}
-
 void ProxyCore::onSessionClosed(Instant now, SessionId id)
 {
     std::erase_if(openingSessions_, [id](const OpeningSession &opening) { return opening.id == id; });
@@ -82,11 +63,12 @@
     }
 }
 
-bool ProxyCore::isReady() const
+bool ProxyCore::isReady(Instant now) const
 {
     // With more backend servers, control grants quotas only on request.
     constexpr std::size_t MaxPoolsWithQuota = 128;
     return configuration_.version > 0 && topology_.index > 0 && !drainStartedAt_ && !isolatedSince_
+        && (!directory_->requiresKeys() || configurationLease_.isValid(now))
         && (!homes_.empty()
             || std::any_of(quotas_.begin(), quotas_.end(), [](const auto &quota) { return quota.second > 0; })
             || pools_.size() > MaxPoolsWithQuota);
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -20,6 +20,12 @@
         respondLocally(*session, ResponseCode::BadMessage, "the transaction has failed");
         return;
     }
+    const bool reachesServer = statement.type == StatementType::Begin || statement.type == StatementType::BeginReadOnly
+        || statement.type == StatementType::Read || statement.type == StatementType::Write
+        || statement.type == StatementType::Execute || statement.type == StatementType::Commit;
+    if (reachesServer && session->state() != TransactionState::Failed && !admitStatement(now, *session, statement)) {
+        return;
+    }
     switch (statement.type) {
     case StatementType::Set:
     case StatementType::Prepare:
@@ -141,6 +147,16 @@
     }
 }
 
+void ProxyCore::failTransaction(Instant now, Session &session)
+{
+    CallerTransaction failed = *session.transaction;
+    rollBackTransaction(now, session);
+    failed.connection = 0;
+    failed.home = {};
+    failed.hasFailed = true;
+    session.transaction = failed;
+}
+
 bool ProxyCore::isWrite(const Session &session, const Statement &statement) const
 {
     if (statement.type == StatementType::Execute) {
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -37,12 +37,14 @@
 void ProxyCore::checkOpeningSessions(Instant now)
 {
     for (const OpeningSession &opening : std::exchange(openingSessions_, {})) {
-        if (configuration_.version > 0) {
-            onSessionOpened(now, opening.id, opening.database);
+        const bool awaitsConfiguration = configuration_.version == 0 || configuration_.version < newestVersion_;
+        if (!awaitsConfiguration) {
+            onSessionOpened(now, opening.id, opening.database, opening.key);
         } else if (now < opening.deadline) {
             openingSessions_.push_back(opening);
         } else {
-            actions_.emplace_back(RejectSession { opening.id, ResponseCode::Busy, "starting, come back in 500 ms" });
+            rejectSession(now, opening.id, opening.database,
+                { ResponseCode::Busy, "starting", timing_.unconfirmedRetryAfter });
         }
     }
 }
@@ -116,11 +118,11 @@
     }
     const Service &service = serviceOf(pool.record().service);
     const bool hasAlternative = pending.needsPrimary
-        ? pool.idleCount() > 0 && !pool.isUnresponsive(now)
+        ? pool.idleCount(session.workspace) > 0 && !pool.isUnresponsive(now)
         : std::any_of(service.backends.begin(), service.backends.end(), [&](const BackendId &id) {
               const BackendPool &other = pools_.at(id);
-              return id != pool.record().id && !pending.triedBackends.contains(id) && other.idleCount() > 0
-                  && other.isUsable(now);
+              return id != pool.record().id && !pending.triedBackends.contains(id)
+                  && other.idleCount(session.workspace) > 0 && other.isUsable(now);
           });
     if (!hasAlternative) {
         return;
@@ -177,11 +179,7 @@
             { { "session", id }, { "idle_ms", now - session.transaction->idleSince },
                 { "limit_ms", transactionIdleTimeout_ } });
         metrics_.add("transactions_idle_total");
-        CallerTransaction failedTransaction = *session.transaction;
-        rollBackTransaction(now, session);
-        failedTransaction.connection = 0;
-        failedTransaction.hasFailed = true;
-        session.transaction = failedTransaction;
+        failTransaction(now, session);
     }
 }
 
@@ -190,7 +188,10 @@
     for (auto at = activePools_.begin(); at != activePools_.end();) {
         BackendPool *pool = findPool(*at);
         if (pool != nullptr && !pool->connections().empty()) {
-            if (const std::optional<ConnectionId> connection = pool->unneededConnection(now); connection) {
+            if (const std::optional<ConnectionId> connection = pool->unneededConnection(now,
+                    directory_->requiresKeys() ? timing_.idleWorkspaceConnectionTimeout
+                                               : timing_.idleConnectionTimeout);
+                connection) {
                 closeConnection(now, *pool, *connection, ConnectionLoss::Broken);
             }
         }
@@ -209,7 +210,7 @@
     for (const BackendId &id : activePools_) {
         if (BackendPool *pool = findPool(id);
             pool != nullptr && pool->connections().empty() && pool->quota() > 0 && pool->canOpen(now)) {
-            openConnection(now, *pool);
+            openConnection(now, *pool, {});
         }
     }
     if (now - lastServiceCheckAt_ < timing_.serviceCheckInterval) {
@@ -220,7 +221,7 @@
         // Keeps trying to connect to a primary even while statements for it are forwarded.
         BackendPool *primary = findPool(service.primary.backend);
         if (primary != nullptr && primary->isUnreachable(now) && primary->openingCount() == 0) {
-            openForDemand(now, *primary, 1);
+            openForDemand(now, *primary, 1, {});
         }
         const std::optional<Instant> newestSampleAt = service.freshness.newestSampleAt();
         const bool isDue = !newestSampleAt || now - *newestSampleAt >= timing_.sampleInterval;
@@ -250,7 +251,8 @@
         unresponsiveCount += isLocal && (!lastResponseAt || now - *lastResponseAt > timing_.isolationTimeout) ? 1 : 0;
     }
     const bool isIsolated = lastControlUpdateAt_ && now - *lastControlUpdateAt_ > timing_.isolationTimeout
-        && ((localCount > 0 && 2 * unresponsiveCount > localCount) || !lease_.isAlive(now));
+        && ((localCount > 0 && 2 * unresponsiveCount > localCount) || !lease_.isAlive(now)
+            || (directory_->requiresKeys() && !configurationLease_.isValid(now)));
     if (isIsolated != isolatedSince_.has_value()) {
         log_.log(now, isIsolated ? "entry.isolated" : "entry.reconnected",
             { { "control_silent_ms", now - *lastControlUpdateAt_ },
@@ -265,12 +267,11 @@
 
 void ProxyCore::closeIdleSessions(Instant now, bool includesTransactions)
 {
-    constexpr Duration MinIdleTime = std::chrono::milliseconds(50); // A request in flight has arrived by then.
     for (auto &[id, session] : sessions_) {
         if (session.origin) {
             continue;
         }
-        const bool isIdle = !session.pending && !session.transaction && now - session.lastActiveAt > MinIdleTime;
+        const bool isIdle = !session.pending && !session.transaction && now - session.lastActiveAt > timing_.minIdleTime;
         if (isIdle || (includesTransactions && !session.pending)) {
             actions_.emplace_back(CloseSession { id });
         }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -22,9 +22,11 @@
         return;
     }
     lastControlUpdateAt_ = now;
+    newestVersion_ = std::max(newestVersion_, update.configVersion);
     if (update.configuration) {
         applyConfiguration(now, *update.configuration);
     }
+    configurationLease_.confirm(update.sequence, update.configVersion, configuration_.version);
     if (update.topology) {
         applyTopology(now, *update.topology);
     }
@@ -101,7 +103,8 @@
     }
     log_.log(now, "config.in-force",
         { { "version", configuration.version }, { "before", configuration_.version },
-            { "routes", std::uint64_t { configuration.routes.size() } } });
+            { "routes", std::uint64_t { configuration.routes.size() } },
+            { "workspaces", std::uint64_t { configuration.workspaces.size() } } });
     configuration_ = configuration;
     metrics_.set("config_version", static_cast<std::int64_t>(configuration_.version));
     transactionIdleTimeout_ = configuration.transactionIdleTimeout;
@@ -111,6 +114,8 @@
         serviceOf(route.service);
     }
     routes_ = std::move(routes);
+    directory_ = std::make_shared<const WorkspaceDirectory>(configuration);
+    endRevokedSessions(now);
 }
 
 void ProxyCore::dispatchAll(Instant now)
--- a/lib/runtime/backendconnections.cpp
+++ b/lib/runtime/backendconnections.cpp
@@ -26,7 +26,7 @@
     };
     state.stream->setHooks(std::move(hooks));
     std::string openMessage;
-    platform_.encodeOpenConnection(openMessage, request.backend);
+    platform_.encodeOpenConnection(openMessage, request.backend, request.workspace);
     state.stream->write(openMessage);
     state.stream->connect({ request.backend.host, request.backend.port }, request.timeout);
 }
--- a/lib/runtime/callersessions.cpp
+++ b/lib/runtime/callersessions.cpp
@@ -93,7 +93,7 @@
                    sessionStart != nullptr && !state.isOpened) {
             state.isAwaitingResponse = true;
             state.isOpened = true;
-            hooks_.onOpened(session, sessionStart->database);
+            hooks_.onOpened(session, *sessionStart);
         } else if (std::holds_alternative<SessionEnd>(decoded.message)) {
             const std::shared_ptr<ByteStream> stream = state.stream;
             sessions_.erase(found);
--- a/lib/runtime/callersessions.h
+++ b/lib/runtime/callersessions.h
@@ -14,7 +14,7 @@
 {
 public:
     struct Hooks {
-        std::function<void(SessionId session, const std::string &database)> onOpened;
+        std::function<void(SessionId session, const SessionStart &start)> onOpened;
         std::function<void(SessionId session, Statement statement)> onStatement;
         std::function<void(SessionId session)> onClosed; ///< Also called after close() and after a malformed message.
         std::function<void(std::string_view reason)> onMalformed;
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -18,7 +18,8 @@
 EntryNode::EntryNode(NodeContext &context)
     : context_(context)
     , runId_(drawRandomNumber())
-    , core_(context.settings.zone, context.log, context.metrics, runId_, {}, context.settings.fencing)
+    , core_(context.settings.zone, context.log, context.metrics, runId_, {}, context.settings.fencing,
+          context.settings.revocationBound)
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
     , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
@@ -32,8 +33,8 @@
 CallerSessions::Hooks EntryNode::callerHooks()
 {
     CallerSessions::Hooks hooks;
-    hooks.onOpened = [this](SessionId session, const std::string &database) {
-        core_.onSessionOpened(Clock::now(), session, database);
+    hooks.onOpened = [this](SessionId session, const SessionStart &start) {
+        core_.onSessionOpened(Clock::now(), session, start.database, start.key);
         performActions();
     };
     hooks.onStatement = [this](SessionId session, Statement statement) {
@@ -93,7 +94,7 @@
 {
     HttpResponse response;
     const bool isHealthCheck = context_.platform.isHealthCheck(request);
-    response.status = !isHealthCheck ? 404 : (core_.isReady() ? 200 : 503);
+    response.status = !isHealthCheck ? 404 : (core_.isReady(Clock::now()) ? 200 : 503);
     response.body = "{}";
     respond(std::move(response));
 }
--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -6,22 +6,11 @@
 
 namespace daisyrelay {
 
-static std::uint64_t hashText(std::string_view text)
-{
-    constexpr std::uint64_t Basis = 14695981039346656037ULL; // FNV-1a offset basis.
-    constexpr std::uint64_t Prime = 1099511628211ULL;
-    std::uint64_t hash = Basis;
-    for (const char character : text) {
-        hash = (hash ^ static_cast<unsigned char>(character)) * Prime;
-    }
-    return hash;
-}
-
 /// Ranks entries for a backend server in the same order on each leader.
 static std::uint64_t stableRank(const VmId &entry, std::uint64_t backendHash)
 {
     constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15ULL; // Spreads the bits of the combined hash.
-    return (hashText(entry.value) ^ backendHash) * Multiplier;
+    return (stableHash(entry.value) ^ backendHash) * Multiplier;
 }
 
 bool EntryRegistry::isAvailable(Instant now, const VmId &entry) const
@@ -45,7 +34,7 @@
     const std::map<VmId, std::size_t> &homeCounts) const
 {
     std::vector<VmId> chosen;
-    const std::uint64_t backendHash = hashText(backend.id.value);
+    const std::uint64_t backendHash = stableHash(backend.id.value);
     const auto addFrom = [&](const std::vector<VmId> &candidates) {
         while (chosen.size() < HomesPerBackend) {
             const VmId *best = nullptr;
@@ -109,10 +98,12 @@
     std::map<BackendId, std::vector<VmId>> chosen;
     std::map<VmId, std::size_t> homeCounts;
     std::vector<const BackendRecord *> unassigned;
+    // With workspaces, a few connections at each entry would rarely fit the workspace of a statement.
+    const std::size_t directConnections = std::clamp(
+        state.configuration().workspaces.size(), MinDirectConnections, MinDirectConnectionsWithWorkspaces);
     for (const auto &[id, backend] : state.backends()) {
         const ServiceLimits *limits = state.limitsOf(backend.service);
-        if (limits == nullptr
-            || limits->maxConnections >= ReservedConnections + MinDirectConnections * sessions_.size()) {
+        if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
             continue;
         }
         const auto current = homes_.find(id);
@@ -238,7 +229,7 @@
     constexpr std::size_t PeersOfZone = 2;
     std::vector<VmId> peers;
     for (const auto &[zone, vms] : byZone) {
-        const std::size_t offset = hashText(entry.value) % vms.size();
+        const std::size_t offset = stableHash(entry.value) % vms.size();
         for (std::size_t index = 0; index < vms.size() && index < PeersOfZone; ++index) {
             peers.push_back(vms[(offset + index) % vms.size()]);
         }
--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -208,7 +208,7 @@
     execute(active, StatementType::Begin);
     execute(active, StatementType::Write, "x");
     service.core.drain(service.now, 6s);
-    CHECK(!service.core.isReady());
+    CHECK(!service.core.isReady(service.now));
     service.run(1s);
     CHECK(!service.callers[idle].isClosed);
     service.run(2s);
