Define the messages of rate limits across entries

Cause: rate limits of workspaces hold over all entries, so entries have to agree on them. Change: requests and grants between entries and coordinators, and the parts of reports and updates that appoint coordinators. Nothing sends them yet.

--- a/include/daisyrelay/proxy/proxyactions.h
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -55,7 +55,8 @@
 /// Sends a message to another entry.
 struct SendToEntry {
     VmId to;
-    std::variant<ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest, PositionResponse>
+    std::variant<ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest, PositionResponse,
+        RateLimitRequest, RateLimitGrant>
         message;
 };
 
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -168,8 +168,8 @@
     [[nodiscard]] static std::string describeDenial(const AccessDenial &denial);
     /// Returns how long ago the configuration was the newest one; negative if that was never confirmed.
     [[nodiscard]] Duration configurationAge(Instant now) const;
-    /// Returns whether the session may run the next statement. Outside a transaction, the session moves to the workspace
-    /// that holds its key now. A statement that is denied gets its response here.
+    /// Returns whether the session may run the next statement. Outside a transaction, the session moves to the
+    /// workspace that holds its key now. A statement that is denied gets its response here.
     bool admitStatement(Instant now, Session &session, const Statement &statement);
     void denyStatement(Instant now, Session &session, const Statement &statement, const AccessDenial &denial);
     void endRevokedSessions(Instant now);
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -4,6 +4,7 @@
 #include "daisyrelay/wire/backendrecord.h"
 #include "daisyrelay/wire/forwardingmessages.h"
 #include "daisyrelay/wire/raftmessages.h"
+#include "daisyrelay/wire/ratelimitmessages.h"
 #include "daisyrelay/wire/routeconfiguration.h"
 
 #include <optional>
@@ -68,12 +69,13 @@
     std::vector<ConnectionQuota> requestedQuotas; ///< Requested quotas where they differ from `heldQuotas`.
     std::vector<PrimaryObservation> primaries;
     std::vector<PrimaryWithdrawal> released; ///< Withdrawals after which the entry no longer uses the primary.
+    CoordinatorReport coordinators;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(name, zone, runId, sequence, configVersion, topologyIndex, homesVersion, isLeaving, heldQuotas,
-            requestedQuotas, primaries, released);
+            requestedQuotas, primaries, released, coordinators);
     }
 };
 
@@ -143,12 +145,13 @@
     /// responds to. Zero if the update grants none.
     std::chrono::milliseconds lease { 0 };
     std::vector<PrimaryWithdrawal> withdrawn; ///< All current withdrawals; the lease does not cover these services.
+    CoordinatorUpdate coordinators;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers,
-            reportIntervalMs, homes, failingOver, number, topologyIndex, lease, withdrawn);
+            reportIntervalMs, homes, failingOver, number, topologyIndex, lease, withdrawn, coordinators);
     }
 };
 
@@ -239,9 +242,9 @@
     }
 };
 
-using ClusterPayload
-    = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControlRequest, ForwardedControlResponse,
-        ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest, PositionResponse>;
+using ClusterPayload = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControlRequest,
+    ForwardedControlResponse, ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest,
+    PositionResponse, RateLimitRequest, RateLimitGrant>;
 
 struct ClusterMessage {
     VmId from;
--- a/include/daisyrelay/wire/forwardingmessages.h
+++ b/include/daisyrelay/wire/forwardingmessages.h
@@ -33,8 +33,9 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sessionId, sequence, route, workspace, statement, inTransaction, beginsTransaction, isReadOnly, needsPrimary,
-            values, isPreparedWrite, preparedShape, lastWrite, lastWriteGeneration, remainingTimeout, maxQueueTime);
+        archive(sessionId, sequence, route, workspace, statement, inTransaction, beginsTransaction, isReadOnly,
+            needsPrimary, values, isPreparedWrite, preparedShape, lastWrite, lastWriteGeneration, remainingTimeout,
+            maxQueueTime);
     }
 };
 
--- a/lib/config/yamlreader.cpp
+++ b/lib/config/yamlreader.cpp
@@ -2,9 +2,9 @@
 
 #include "daisyrelay/config/configurationcodec.h"
 
-#include <cmath>
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 
 namespace daisyrelay {
--- a/lib/proxy/access.cpp
+++ b/lib/proxy/access.cpp
@@ -3,8 +3,7 @@
 
 namespace daisyrelay {
 
-void ProxyCore::onSessionOpened(
-    Instant now, SessionId id, const std::string &database, const std::string &key)
+void ProxyCore::onSessionOpened(Instant now, SessionId id, const std::string &database, const std::string &key)
 {
     if (configuration_.version == 0) {
         // Shortly after a start the configuration is about to arrive. A rejected caller might only reach another
@@ -46,8 +45,7 @@
             { "config_age_ms", configurationAge(now) } });
     metrics_.add("sessions_rejected_total");
     metrics_.add("sessions_rejected_total{reason=\"" + std::string(denial.reason) + "\"}");
-    const std::string detail
-        = denial.code == ResponseCode::UnknownDatabase ? database : describeDenial(denial);
+    const std::string detail = denial.code == ResponseCode::UnknownDatabase ? database : describeDenial(denial);
     actions_.emplace_back(RejectSession { id, denial.code, detail });
 }
 
@@ -113,8 +111,7 @@
     return true;
 }
 
-void ProxyCore::denyStatement(
-    Instant now, Session &session, const Statement &statement, const AccessDenial &denial)
+void ProxyCore::denyStatement(Instant now, Session &session, const Statement &statement, const AccessDenial &denial)
 {
     metrics_.add("refused_total{reason=\"" + std::string(denial.reason) + "\"}");
     log_.log(now, "request.refused",
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -88,8 +88,7 @@
     ++openFailures_;
 }
 
-BackendConnection *BackendPool::findIdle(
-    const std::map<std::string, std::string> &values, const WorkspaceId &workspace)
+BackendConnection *BackendPool::findIdle(const std::map<std::string, std::string> &values, const WorkspaceId &workspace)
 {
     BackendConnection *best = nullptr;
     bool bestMatches = false;
@@ -290,8 +289,7 @@
     return static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(), [&workspace](const auto &entry) {
             const BackendConnection &connection = entry.second;
-            const bool isRunning
-                = connection.state == BackendConnection::State::Busy && !connection.isInTransaction;
+            const bool isRunning = connection.state == BackendConnection::State::Busy && !connection.isInTransaction;
             return connection.workspace == workspace
                 && (isRunning || connection.state == BackendConnection::State::Opening);
         }));
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -144,8 +144,8 @@
     }
     if (pool->hasCapacity(now)) {
         // A read without a minimum position needs the primary, too, but is not counted.
-        const std::size_t queued = directory_->requiresKeys() ? countQueued(service, session.workspace, true)
-                                                              : service.queuedForPrimary;
+        const std::size_t queued
+            = directory_->requiresKeys() ? countQueued(service, session.workspace, true) : service.queuedForPrimary;
         openForDemand(now, *pool, std::max<std::size_t>(queued, 1), session.workspace);
     }
     const bool hasCapacity = pool->hasCapacity(now);
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -8,9 +8,8 @@
 std::string_view responseCodeName(ResponseCode code)
 {
     static constexpr std::array<std::string_view, 14> Names { "ok", "busy", "aborted", "lagging", "not-primary",
-        "wrong-backend", "connection-limit", "unknown-statement", "bad-message", "unknown-database",
-        "unauthorized", "failed",
-        "timed-out", "in-doubt" };
+        "wrong-backend", "connection-limit", "unknown-statement", "bad-message", "unknown-database", "unauthorized",
+        "failed", "timed-out", "in-doubt" };
     return Names.at(static_cast<std::size_t>(code));
 }
 
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -43,8 +43,8 @@
         } else if (now < opening.deadline) {
             openingSessions_.push_back(opening);
         } else {
-            rejectSession(now, opening.id, opening.database,
-                { ResponseCode::Busy, "starting", timing_.unconfirmedRetryAfter });
+            rejectSession(
+                now, opening.id, opening.database, { ResponseCode::Busy, "starting", timing_.unconfirmedRetryAfter });
         }
     }
 }
@@ -271,7 +271,8 @@
         if (session.origin) {
             continue;
         }
-        const bool isIdle = !session.pending && !session.transaction && now - session.lastActiveAt > timing_.minIdleTime;
+        const bool isIdle
+            = !session.pending && !session.transaction && now - session.lastActiveAt > timing_.minIdleTime;
         if (isIdle || (includesTransactions && !session.pending)) {
             actions_.emplace_back(CloseSession { id });
         }
--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -99,8 +99,8 @@
     std::map<VmId, std::size_t> homeCounts;
     std::vector<const BackendRecord *> unassigned;
     // With workspaces, a few connections at each entry would rarely fit the workspace of a statement.
-    const std::size_t directConnections = std::clamp(
-        state.configuration().workspaces.size(), MinDirectConnections, MinDirectConnectionsWithWorkspaces);
+    const std::size_t directConnections
+        = std::clamp(state.configuration().workspaces.size(), MinDirectConnections, MinDirectConnectionsWithWorkspaces);
     for (const auto &[id, backend] : state.backends()) {
         const ServiceLimits *limits = state.limitsOf(backend.service);
         if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
--- a/unittests/scale/controlsimulation.cpp
+++ b/unittests/scale/controlsimulation.cpp
@@ -340,8 +340,8 @@
 
 std::size_t ControlSimulation::readyEntries() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(), [this](const auto &entry) { return entry->core->isReady(now_); }));
+    return static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(), [this](const auto &entry) { return entry->core->isReady(now_); }));
 }
 
 void ControlSimulation::resetCounts()
