--- a/unittests/platform/controlapitest.cpp
+++ b/unittests/platform/controlapitest.cpp
@@ -44,6 +44,34 @@
     CHECK_EQUAL(3000, configuration->transactionIdleTimeout.count());
 }
 
+TEST(ControlApi, ReadsWorkspacesAndRejectsInvalidOnes)
+{
+    const auto parseWith = [](const std::string &workspaces) {
+        std::string text = ValidText;
+        text.replace(text.find("\"Limits\""), 0, "\"Tenants\":" + workspaces + ",");
+        return parseRouteConfiguration(text);
+    };
+    const Expected<RouteConfiguration> configuration
+        = parseWith(R"([{"Name":"a","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":193,"Burst":20},)"
+                    R"({"Name":"b","ApiKeys":[],"RatePerS":7.5}])");
+    CHECK(configuration.has_value());
+    CHECK(configuration->requiresKeys);
+    CHECK_EQUAL(2U, configuration->workspaces.at(0).keys.size());
+    CHECK_EQUAL(193U, configuration->workspaces.at(0).operationsPerSecond);
+    CHECK_EQUAL(20U, configuration->workspaces.at(0).burst);
+    CHECK_EQUAL(7U, configuration->workspaces.at(1).operationsPerSecond);
+    CHECK(parseWith("[]")->requiresKeys);
+    CHECK(!parseRouteConfiguration(ValidText)->requiresKeys);
+    CHECK(!parseWith(R"([{"Name":"a","ApiKeys":["k"]},{"Name":"b","ApiKeys":["k"]}])").has_value());
+    CHECK(!parseWith(R"([{"Name":"a","ApiKeys":["k"]},{"Name":"a","ApiKeys":["l"]}])").has_value());
+    CHECK(!parseWith(R"([{"Name":"a","ApiKeys":"k"}])").has_value());
+    CHECK(!parseWith(R"([{"Name":"a","ApiKeys":[7]}])").has_value());
+    CHECK(!parseWith(R"([{"Name":"a","ApiKeys":["k"],"RatePerS":-1}])").has_value());
+    CHECK(!parseWith(R"([{"Name":"a","ApiKeys":["k"],"RatePerS":1e300}])").has_value());
+    CHECK(!parseWith(R"([{"ApiKeys":["k"]}])").has_value());
+    CHECK(!parseWith("7").has_value());
+}
+
 TEST(ControlApi, RejectsInvalidConfiguration)
 {
     const auto isValidWith = [](const std::string &from, const std::string &to) {
--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -10,7 +10,8 @@
 static constexpr Duration NetworkDelay = 1ms;
 static constexpr Duration WorkTime = 5ms;
 
-FakeService::FakeService(std::size_t size)
+FakeService::FakeService(std::size_t size, Duration revocationBound)
+    : core(ZoneId { "z0" }, log, metrics, 1000, {}, FencingPolicy::Platform, revocationBound)
 {
     for (std::size_t at = 0; at < size; ++at) {
         servers["b" + std::to_string(at)] = {};
@@ -21,7 +22,9 @@
 {
     EntryUpdate update;
     RouteConfiguration configuration;
-    configuration.version = 1;
+    configuration.version = ++configVersion;
+    configuration.workspaces = workspaces;
+    configuration.requiresKeys = !workspaces.empty();
     DatabaseRoute route;
     route.database = "db";
     route.service = Service;
@@ -33,8 +36,9 @@
     configuration.services.push_back({ Service, 16, 0 });
     configuration.transactionIdleTimeout = 3000ms;
     update.configuration = configuration;
+    update.configVersion = configVersion;
     core.onControlUpdate(now, update);
-    performActions();
+    reportToControl();
 }
 
 void FakeService::sendTopology(std::uint32_t quota)
@@ -54,11 +58,24 @@
     run(500ms);
 }
 
-SessionId FakeService::open(const std::string &name)
+void FakeService::reportToControl()
+{
+    core.recordReport(now, ++reportSequence_);
+    if (isControlReachable) {
+        EntryUpdate update;
+        update.sequence = reportSequence_;
+        update.configVersion = configVersion;
+        core.onControlUpdate(now, update);
+    }
+    performActions();
+}
+
+SessionId FakeService::open(const std::string &name, const std::string &key)
 {
     const SessionId id = nextSession_++;
     callers[id].name = name;
-    core.onSessionOpened(now, id, "db");
+    callers[id].key = key;
+    core.onSessionOpened(now, id, "db", key);
     performActions();
     return id;
 }
@@ -101,7 +118,7 @@
         }
         constexpr auto UpdateInterval = 200ms;
         if (now.time_since_epoch() % UpdateInterval == Duration::zero()) {
-            core.onControlUpdate(now, {});
+            reportToControl();
         }
         constexpr auto TickInterval = 10ms;
         if (now.time_since_epoch() % TickInterval == Duration::zero()) {
@@ -137,16 +154,13 @@
                 callers[close->session].isClosed = true;
                 core.onSessionClosed(now, close->session);
             } else if (auto *open = std::get_if<OpenBackendConnection>(&action); open != nullptr) {
-                const ConnectionId id = open->connection;
-                const std::string name = open->backend.id.value;
-                schedule(NetworkDelay, [this, id, name]() {
-                    if (serversRefusingConnections.contains(name)) {
-                        core.onConnectionLost(now, id, ConnectionLoss::Refused);
-                    } else {
-                        connections[id].server = name;
-                        core.onConnectionOpened(now, id);
-                    }
-                });
+                schedule(NetworkDelay, [this, request = *open]() { openConnection(request.connection, request); });
+            } else if (auto *refusal = std::get_if<RejectSession>(&action); refusal != nullptr) {
+                callers[refusal->session].isRejected = true;
+                CallerResponse response;
+                response.code = refusal->code;
+                response.detail = refusal->detail;
+                callers[refusal->session].responses.push_back(std::move(response));
             } else if (auto *message = std::get_if<SendToEntry>(&action); message != nullptr) {
                 if (onMessage) {
                     onMessage(*message);
@@ -160,6 +174,23 @@
     }
 }
 
+void FakeService::openConnection(ConnectionId id, const OpenBackendConnection &request)
+{
+    const std::string &name = request.backend.id.value;
+    if (serversRefusingConnections.contains(name)) {
+        core.onConnectionLost(now, id, ConnectionLoss::Refused);
+        return;
+    }
+    connections[id].server = name;
+    connections[id].workspace = request.workspace;
+    const auto openCount = std::count_if(connections.begin(), connections.end(),
+        [&name](const auto &connection) { return connection.second.server == name; });
+    if (static_cast<std::size_t>(openCount) > maxConnections) {
+        violation = name + " has too many connections";
+    }
+    core.onConnectionOpened(now, id);
+}
+
 void FakeService::runExchange(const RunExchange &exchange)
 {
     const auto found = connections.find(exchange.connection);
@@ -193,6 +224,12 @@
     if (connection.values != caller.values) {
         violation = statement.id + " ran with the values of another session";
     }
+    const auto holder = std::find_if(workspaces.begin(), workspaces.end(), [&caller](const Workspace &workspace) {
+        return std::find(workspace.keys.begin(), workspace.keys.end(), caller.key) != workspace.keys.end();
+    });
+    if (holder != workspaces.end() && connection.workspace != holder->name) {
+        violation = statement.id + " ran on a connection of workspace " + connection.workspace.value;
+    }
     if (connection.inTransaction && !connection.owner.empty() && connection.owner != caller.name) {
         violation = statement.id + " ran in a transaction of " + connection.owner;
     }
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -33,6 +33,7 @@
 
     struct Connection {
         std::string server;
+        WorkspaceId workspace; ///< Named by the proxy when it opened the connection.
         bool inTransaction = false;
         bool isReadOnly = false;
         std::vector<Write> pending;
@@ -43,6 +44,8 @@
 
     struct Caller {
         std::string name;
+        std::string key;
+        bool isRejected = false;
         std::map<std::string, std::string> values;
         std::deque<CallerResponse> responses;
         bool isAccepted = false;
@@ -53,7 +56,7 @@
     std::vector<std::string> logLines;
     EventLog log { [this](std::string_view line) { logLines.emplace_back(line); }, 1000 };
     Metrics metrics;
-    ProxyCore core { ZoneId { "z0" }, log, metrics, 1000 };
+    ProxyCore core;
     std::map<std::string, Server> servers;
     std::map<ConnectionId, Connection> connections;
     std::map<SessionId, Caller> callers;
@@ -65,14 +68,23 @@
     std::string violation;
     std::set<std::string> serversRefusingConnections;
 
-    explicit FakeService(std::size_t size = 3);
+    std::vector<Workspace> workspaces; ///< Callers need keys if there are any; applied by configure().
+    std::uint64_t configVersion = 0; ///< Version of the configuration that control has.
+    bool isControlReachable = true;
+    std::size_t maxConnections = 1000; ///< Of each server.
 
+    explicit FakeService(std::size_t size = 3, Duration revocationBound = Duration::zero());
+
+    /// Gives the core a new configuration, which control has from then on.
     void configure(ReadGuarantee guarantee, std::chrono::milliseconds timeout = std::chrono::milliseconds(800));
 
     /// Sends the core an update with servers, primary and quotas.
     void sendTopology(std::uint32_t quota = 4);
 
-    SessionId open(const std::string &name);
+    SessionId open(const std::string &name, const std::string &key = std::string());
+
+    /// Exchanges a report and its response with control.
+    void reportToControl();
     std::string send(
         SessionId session, StatementType type, const std::string &text = "", const std::string &argument = "");
 
@@ -108,12 +120,14 @@
     void commit(Connection &connection, const std::string &id);
     void checkSessionIsolation(const Connection &connection, const Statement &statement);
     void replicate();
+    void openConnection(ConnectionId id, const OpenBackendConnection &request);
 
     std::deque<std::pair<Instant, std::uint64_t>> commitHistory_; ///< Time and number of each commit.
     std::uint64_t nextId_ = 1;
     SessionId nextSession_ = 1;
     std::uint64_t nextWriteNumber_ = 1;
     std::uint64_t topologyIndex_ = 1;
+    std::uint64_t reportSequence_ = 0;
     std::vector<ScheduledAction> scheduled_;
 };
 
