Grant no connections before the homes have reported to a new leader

A new leader knows no quotas, so it granted one connection to each entry that reported, although homes that had not reported yet held all of them. Change: while entries have homes of the former leader, none of them gets more connections. A rejection at the limit delays the next attempt by 60 ms only and does not count as a failure of the server.

--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -11,6 +11,9 @@
     /// Delay after the first connection that could not be opened; doubles with each further failure.
     Duration initialBackoff = std::chrono::milliseconds(30);
     Duration maxBackoff = std::chrono::milliseconds(800);
+    /// Delay after a server has rejected a connection because of its connection limit. Not increased: VMs release
+    /// connections within a few hundred milliseconds, and a rejection costs the server little.
+    Duration connectionLimitBackoff = std::chrono::milliseconds(60);
     /// Delay before a statement is sent again to a server that rejected it as busy.
     Duration busyBackoff = std::chrono::milliseconds(8);
     /// A new position of the primary is requested when the newest sample is older. Staleness bounds are at least one
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -48,7 +48,7 @@
 
 bool BackendPool::isOpeningAllowed(Instant now) const
 {
-    return now >= retryAt_ && (openFailures_ == 0 || openingCount() == 0);
+    return now >= retryAt_ && ((openFailures_ == 0 && !isAtConnectionLimit_) || openingCount() == 0);
 }
 
 BackendConnection &BackendPool::addConnection(Instant now, ConnectionId id, const WorkspaceId &workspace)
@@ -68,6 +68,7 @@
     connection.state = BackendConnection::State::Idle;
     connection.stateSince = now;
     openFailures_ = 0;
+    isAtConnectionLimit_ = false;
     lastResponseAt_ = now;
 }
 
@@ -82,6 +83,13 @@
     if (!wasOpening && loss == ConnectionLoss::Broken) {
         return;
     }
+    isAtConnectionLimit_ = loss == ConnectionLoss::ConnectionLimit;
+    if (isAtConnectionLimit_) {
+        // The server is reachable, and there is room as soon as another VM has closed its connection.
+        retryAt_ = now + timing_.connectionLimitBackoff;
+        lastResponseAt_ = now;
+        return;
+    }
     constexpr std::uint32_t MaxDoublings = 6;
     const Duration delay = timing_.initialBackoff * (1U << std::min(openFailures_, MaxDoublings));
     retryAt_ = now + std::min(delay, timing_.maxBackoff);
@@ -310,7 +318,7 @@
 {
     const bool isLeaving = record_.isDraining && now - drainingSince_ > timing_.maxDrainingUse;
     return !isLeaving && now >= avoidUntil_
-        && (idleCount() + openingCount() > 0 || openFailures_ == 0 || now >= retryAt_);
+        && (idleCount() + openingCount() > 0 || (openFailures_ == 0 && !isAtConnectionLimit_) || now >= retryAt_);
 }
 
 bool BackendPool::isUnresponsive(Instant now) const
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -194,6 +194,10 @@
     // the former leader keep their connections until this leader has assigned homes.
     const bool isStartup = now - leaderSince_ < timing_.quotaGrantDelay || isAwaitingHomes(now);
     ReportingEntry &session = found->second;
+    if (isAwaitingHomes(now) && session.report.homesVersion != 0) {
+        // The connections belong to homes of the former leader, some of which may not have reported yet.
+        return changes;
+    }
     std::map<BackendId, std::uint32_t> requestedQuotas;
     for (const ConnectionQuota &quota : session.report.requestedQuotas) {
         requestedQuotas[quota.backend] = quota.connections;
--- a/unittests/supervision/entryregistrytest.cpp
+++ b/unittests/supervision/entryregistrytest.cpp
@@ -89,6 +89,26 @@
     CHECK_EQUAL(5U, grant("b", 5));
 }
 
+// Guards against connections above the limit of a server after a change of leader: every entry got one before the
+// homes, which held all of them, had reported to the new leader.
+TEST(EntryRegistry, NewLeaderGrantsNothingWhileHomesOfTheFormerOneHoldAllConnections)
+{
+    registry.reset(now, 2);
+    std::uint32_t granted = 0;
+    for (int at = 0; at < 20; ++at) {
+        const VmId entry { "e" + std::to_string(at) };
+        EntryReport report;
+        report.runId = 1;
+        report.sequence = ++sequence;
+        report.homesVersion = at == 19 ? 0 : 7; // The last entry has just started.
+        registry.recordReport(now, entry, report);
+        for (const ConnectionQuota &quota : registry.grantQuotas(now, entry, state)) {
+            granted += quota.connections;
+        }
+    }
+    CHECK_EQUAL(1U, granted);
+}
+
 TEST(EntryRegistry, ScarceConnectionsAreHeldByFewHomeEntries)
 {
     RouteConfiguration configuration;
