Admit operations within the rate limits of workspaces

Change: ProxyCore takes a token for each operation before it starts, forwards requests to coordinators, and coordinates slots that control granted to it.

--- a/include/daisyrelay/proxy/configurationlease.h
+++ b/include/daisyrelay/proxy/configurationlease.h
@@ -1,7 +1,9 @@
 // How long this entry may rely on its configuration without a confirmation of control that it is the newest.
 #pragma once
 
-#include "daisyrelay/proxy/sentreports.h"
+#include "daisyrelay/base.h"
+
+#include <optional>
 
 namespace daisyrelay {
 
@@ -17,13 +19,10 @@
     /// \p bound is zero if the configuration may be relied on without limit.
     explicit ConfigurationLease(Duration bound = Duration::zero());
 
-    /// Records that report \p sequence is being sent.
-    void recordReport(Instant now, std::uint64_t sequence);
-
-    /// Records that control, after it had received report \p sequence, knew \p newestVersion as the newest one, while
-    /// \p ownVersion is in force here. A newer version does not shorten the lease, since it was acknowledged later than
-    /// the report that the lease counts from.
-    void confirm(std::uint64_t sequence, std::uint64_t newestVersion, std::uint64_t ownVersion);
+    /// Records that control, after it had received a report sent at \p reportSentAt, knew \p newestVersion as the newest
+    /// one, while \p ownVersion is in force here. A newer version does not shorten the lease, since it was acknowledged
+    /// later than the report that the lease counts from.
+    void confirm(Instant reportSentAt, std::uint64_t newestVersion, std::uint64_t ownVersion);
 
     /// Returns whether work of callers with a key may be accepted.
     [[nodiscard]] bool isValid(Instant now) const;
@@ -33,7 +32,6 @@
 
 private:
     Duration bound_;
-    SentReports sentReports_;
     std::optional<Instant> confirmedAt_;
 };
 
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -7,8 +7,10 @@
 #include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
 #include "daisyrelay/proxy/proxytiming.h"
+#include "daisyrelay/proxy/sentreports.h"
 #include "daisyrelay/proxy/session.h"
 #include "daisyrelay/proxy/workspacedirectory.h"
+#include "daisyrelay/ratelimits.h"
 #include "daisyrelay/telemetry.h"
 
 #include <map>
@@ -58,6 +60,9 @@
     void onPositionRequest(Instant now, const VmId &from, const PositionRequest &request);
     void onPositionResponse(Instant now, const VmId &from, const PositionResponse &response);
 
+    void onRateLimitRequest(Instant now, const VmId &from, const RateLimitRequest &request);
+    void onRateLimitGrant(Instant now, const VmId &from, const RateLimitGrant &grant);
+
     void onConnectionOpened(Instant now, ConnectionId connection);
     void onConnectionLost(Instant now, ConnectionId connection, ConnectionLoss loss);
     void onExchange(Instant now, ConnectionId connection, std::vector<BackendResponse> responses);
@@ -174,6 +179,14 @@
     void denyStatement(Instant now, Session &session, const Statement &statement, const AccessDenial &denial);
     void endRevokedSessions(Instant now);
 
+    // ratelimiting.cpp
+    /// Returns whether the statement may run now. Otherwise it waits for a token, or has got its response.
+    bool admitWithinLimit(Instant now, Session &session);
+    void retryLimited(Instant now);
+    void sendRateLimitRequests();
+    void applyCoordinators(Instant now, Instant reportSentAt, const CoordinatorUpdate &update);
+    void fillCoordinatorReport(Instant now, CoordinatorReport &report) const;
+
     // workspaceconnections.cpp
     void openForWorkspace(Instant now, BackendPool &pool, const WorkspaceId &workspace, std::size_t queued);
     [[nodiscard]] std::size_t countQueued(
@@ -286,6 +299,12 @@
     RouteConfiguration configuration_;
     std::shared_ptr<const WorkspaceDirectory> directory_; ///< Of the configuration in force.
     ConfigurationLease configurationLease_;
+    SentReports sentReports_;
+    RateLimitClient rateLimits_;
+    RateLimitCoordinator coordinator_;
+    std::uint64_t coordinatorTableVersion_ = 0;
+    std::vector<std::uint32_t> releasedSlots_; ///< Coordinator slots that this entry gave up when it began to drain.
+    std::set<std::pair<Instant, SessionId>> limitedSessions_; ///< Sessions that wait for a token, by arrival.
     std::uint64_t newestVersion_ = 0; ///< Highest configuration version that control has named.
     Topology topology_; ///< Only the index is used; pools and services hold the rest.
     std::uint64_t controlTopologyIndex_ = 0; ///< Index that control had at its last update.
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -57,6 +57,7 @@
     Instant sentAt {}; ///< When the last attempt was sent.
     std::uint32_t attempts = 0; ///< Number of times the statement was sent.
     std::uint32_t rejections = 0; ///< Number of attempts that were rejected without running.
+    bool awaitsRateLimit = false; ///< Waits for a token of the workspace's rate limit.
     bool wasSent = false; ///< Whether the statement was sent at least once.
     ConnectionId connection = 0; ///< Connection that runs the statement; zero while it is queued or forwarded.
     VmId home; ///< Entry that runs the statement, if not this one.
--- a/lib/proxy/configurationlease.cpp
+++ b/lib/proxy/configurationlease.cpp
@@ -11,16 +11,10 @@
 {
 }
 
-void ConfigurationLease::recordReport(Instant now, std::uint64_t sequence)
+void ConfigurationLease::confirm(Instant reportSentAt, std::uint64_t newestVersion, std::uint64_t ownVersion)
 {
-    sentReports_.record(now, sequence);
-}
-
-void ConfigurationLease::confirm(std::uint64_t sequence, std::uint64_t newestVersion, std::uint64_t ownVersion)
-{
-    const std::optional<Instant> sentAt = sentReports_.sentAt(sequence);
-    if (sentAt && ownVersion >= newestVersion) {
-        confirmedAt_ = std::max(confirmedAt_.value_or(*sentAt), *sentAt);
+    if (ownVersion >= newestVersion) {
+        confirmedAt_ = std::max(confirmedAt_.value_or(reportSentAt), reportSentAt);
     }
 }
 
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -317,6 +317,7 @@
     log_.log(now, "request.refused",
         { { "request", std::string_view(session.pending->statement.id) }, { "reason", reason },
             { "database", std::string_view(session.database) },
+            { "workspace", std::string_view(session.workspace.value) },
             { "service", std::string_view(session.pending->route->service.value) },
             { "waited_ms", now - session.pending->arrivedAt },
             { "attempts", std::uint64_t { session.pending->attempts } },
--- a/lib/proxy/leases.cpp
+++ b/lib/proxy/leases.cpp
@@ -22,7 +22,7 @@
 void ProxyCore::recordReport(Instant now, std::uint64_t sequence)
 {
     lease_.recordReport(now, sequence);
-    configurationLease_.recordReport(now, sequence);
+    sentReports_.record(now, sequence);
 }
 
 void ProxyCore::applyLease(Instant now, const EntryUpdate &update)
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -21,6 +21,7 @@
     , timing_(timing)
     , directory_(std::make_shared<const WorkspaceDirectory>())
     , configurationLease_(revocationBound)
+    , rateLimits_(sessionIdBase)
     , sessionIdBase_(sessionIdBase)
     , lease_(fencing)
 {
@@ -58,6 +59,8 @@
     if (!drainStartedAt_) {
         drainStartedAt_ = now;
         drainGrace_ = grace;
+        releasedSlots_ = coordinator_.heldSlots(now);
+        coordinator_.releaseAll(now);
         log_.log(now, "drain.begin", { { "sessions", std::uint64_t { sessions_.size() } }, { "grace_ms", grace } });
     }
 }
@@ -99,6 +102,7 @@
     report.homesVersion = homesVersion_;
     report.isLeaving = drainStartedAt_.has_value();
     report.released = lease_.released();
+    fillCoordinatorReport(now, report.coordinators);
     for (const BackendId &id : activePools_) {
         const BackendPool *active = findPool(id);
         if (active == nullptr) {
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -202,7 +202,9 @@
     pending.statement = std::move(statement);
     session.pending = std::move(pending);
     activeSessions_.insert(session.id);
-    submit(now, session);
+    if (admitWithinLimit(now, session)) {
+        submit(now, session);
+    }
 }
 
 } // namespace daisyrelay
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -15,6 +15,9 @@
         }
     }
     checkOpeningSessions(now);
+    rateLimits_.tick(now);
+    retryLimited(now);
+    sendRateLimitRequests();
     releaseWithdrawn(now);
     checkPendingStatements(now);
     checkConnections(now);
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -26,7 +26,10 @@
     if (update.configuration) {
         applyConfiguration(now, *update.configuration);
     }
-    configurationLease_.confirm(update.sequence, update.configVersion, configuration_.version);
+    if (const std::optional<Instant> sentAt = sentReports_.sentAt(update.sequence); sentAt) {
+        configurationLease_.confirm(*sentAt, update.configVersion, configuration_.version);
+        applyCoordinators(now, *sentAt, update.coordinators);
+    }
     if (update.topology) {
         applyTopology(now, *update.topology);
     }
@@ -116,6 +119,8 @@
     routes_ = std::move(routes);
     directory_ = std::make_shared<const WorkspaceDirectory>(configuration);
     endRevokedSessions(now);
+    rateLimits_.setLimits(now, configuration.workspaces);
+    coordinator_.setLimits(now, configuration.workspaces);
 }
 
 void ProxyCore::dispatchAll(Instant now)
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -139,7 +139,7 @@
             } else if (auto *end = std::get_if<CloseBackendConnection>(&action); end != nullptr) {
                 backends_.close(end->connection);
             } else if (auto *outgoing = std::get_if<SendToEntry>(&action); outgoing != nullptr) {
-                std::visit([&](auto &message) { peers_.send(outgoing->to, std::move(message)); }, outgoing->message);
+                sendToEntry(std::move(*outgoing));
             } else if (std::holds_alternative<SendReportNow>(action)) {
                 sendReport(Clock::now());
             }
@@ -148,6 +148,22 @@
     isPerformingActions_ = false;
 }
 
+void EntryNode::sendToEntry(SendToEntry outgoing)
+{
+    if (outgoing.to != context_.settings.id) {
+        std::visit([&](auto &message) { peers_.send(outgoing.to, std::move(message)); }, outgoing.message);
+        return;
+    }
+    // This entry coordinates rate limits for itself, too.
+    if (const auto *request = std::get_if<RateLimitRequest>(&outgoing.message); request != nullptr) {
+        core_.onRateLimitRequest(Clock::now(), outgoing.to, *request);
+    } else if (const auto *grant = std::get_if<RateLimitGrant>(&outgoing.message); grant != nullptr) {
+        core_.onRateLimitGrant(Clock::now(), outgoing.to, *grant);
+    } else {
+        std::visit([&](auto &message) { peers_.send(outgoing.to, std::move(message)); }, outgoing.message);
+    }
+}
+
 void EntryNode::scheduleTick()
 {
     timer_.expires_after(core_.isBusy() ? BusyTickInterval : IdleTickInterval);
@@ -245,6 +261,12 @@
     } else if (const auto *position = std::get_if<PositionResponse>(&payload); position != nullptr) {
         core_.onPositionResponse(now, from, *position);
         performActions();
+    } else if (const auto *limitRequest = std::get_if<RateLimitRequest>(&payload); limitRequest != nullptr) {
+        core_.onRateLimitRequest(now, from, *limitRequest);
+        performActions();
+    } else if (const auto *limitGrant = std::get_if<RateLimitGrant>(&payload); limitGrant != nullptr) {
+        core_.onRateLimitGrant(now, from, *limitGrant);
+        performActions();
     } else if (const auto *peerReport = std::get_if<EntryReport>(&payload); peerReport != nullptr) {
         peers_.send(from, core_.makeUpdateFor(*peerReport));
     } else if (const auto *update = std::get_if<EntryUpdate>(&payload); update != nullptr) {
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -24,6 +24,7 @@
     void onPeerMessage(const VmId &from, ClusterPayload payload);
     void onLeaderUpdate(const VmId &from, const EntryUpdate &update);
     void performActions();
+    void sendToEntry(SendToEntry outgoing);
     void scheduleTick();
     void tick();
     /// Sends the state of this entry to the control VM in use.
