--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -39,6 +39,9 @@
     /// Duration of a lease on the primaries. Covers the loss of a control leader; an entry that cannot be reached
     /// delays a failover by as long.
     Duration primaryLease = std::chrono::milliseconds(3000);
+    /// Duration of the authority over a coordinator slot. Limits how long the offline allowances of entries have to
+    /// replace a lost coordinator.
+    Duration coordinatorLease = std::chrono::milliseconds(2000);
     /// A promotion without a response has been carried out by then, or never will be.
     Duration maxPromotionDelay = std::chrono::seconds(10);
     /// How long to wait after a start until exactly one server claims the primary role.
@@ -67,6 +70,9 @@
     Duration minReportSpacing = std::chrono::milliseconds(5);
 };
 
+/// Added to the duration of a lease on the side of control, since clocks of two VMs differ in rate.
+constexpr Duration ClockDriftMargin = std::chrono::milliseconds(50);
+
 /// Connections to each backend server that are not given to entries. They serve the leader's probes and connections
 /// that are slow to close.
 constexpr std::uint32_t ReservedConnections = 2;
--- a/lib/supervision/leaseledger.cpp
+++ b/lib/supervision/leaseledger.cpp
@@ -1,12 +1,11 @@
 #include "daisyrelay/supervision/leaseledger.h"
 
+#include "daisyrelay/supervision/supervisiontiming.h"
+
 #include <algorithm>
 
 namespace daisyrelay {
 
-/// Added to the duration of a lease on the side of control, since clocks of two VMs differ in rate.
-static constexpr Duration ClockDriftMargin = std::chrono::milliseconds(50);
-
 LeaseLedger::LeaseLedger(FencingPolicy policy, Duration leaseDuration) : policy_(policy), duration_(leaseDuration)
 {
 }
