Appoint coordinators in the supervisor

Cause: reports and updates carry coordinator slots, but control ignored them. Change: the supervisor records the coordinator part of reports, reassigns slots with each report and tick while a workspace has a rate limit, and fills the coordinator part of responses. Changes are logged as coordinator.changed and counted by reason.

--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -1,7 +1,9 @@
 // The decisions of the control leader: the configuration and the backend servers in force, the primary of each service,
-// and the connections that each entry may use. On other control VMs the supervisor only applies the log.
+// the connections that each entry may use, and the coordinators of rate limits. On other control VMs the supervisor
+// only applies the log.
 #pragma once
 
+#include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/entryregistry.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/primarymonitor.h"
@@ -70,6 +72,7 @@
     void pushUpdates(Instant now);
     void pushUpdate(Instant now, const VmId &entry, bool isResponse);
     void propose(SupervisionCommand command);
+    void assignCoordinators(Instant now);
     [[nodiscard]] MonitorContext context();
 
     EventLog &log_;
@@ -85,6 +88,7 @@
     std::vector<VmId> controlVms_;
     EntryRegistry entries_;
     LeaseLedger leases_;
+    CoordinatorSlots coordinators_;
     std::uint64_t nextUpdateNumber_ = 1;
     std::map<BackendId, Instant> lastHeartbeatAt_;
     /// Start time and sequence of the last accepted heartbeat.
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -11,6 +11,7 @@
     , timing_(timing)
     , entries_(timing)
     , leases_(fencing, timing.primaryLease)
+    , coordinators_(log, metrics, timing)
     , nextId_(firstId)
 {
 }
@@ -42,6 +43,7 @@
     }
     entries_.reset(now, term);
     leases_.reset(now);
+    coordinators_.reset(now, term);
     lastHeartbeatAt_.clear();
     lastHeartbeat_.clear();
     // A promotion that a former leader has decided may take effect at any time, so that no update may lift its
@@ -155,9 +157,19 @@
     if (const std::size_t ignored = leases_.recordReport(entry, report.runId, report.released); ignored > 0) {
         metrics_.add("releases_ignored_total", ignored);
     }
+    coordinators_.recordReport(now, entry, report);
+    assignCoordinators(now);
     pushUpdate(now, entry, true);
 }
 
+void Supervisor::assignCoordinators(Instant now)
+{
+    const std::vector<Workspace> &workspaces = state_.configuration().workspaces;
+    const bool haveLimits = std::any_of(workspaces.begin(), workspaces.end(),
+        [](const Workspace &workspace) { return workspace.operationsPerSecond > 0; });
+    coordinators_.assign(now, haveLimits);
+}
+
 void Supervisor::onProbe(Instant now, const ProbeOutcome &outcome)
 {
     const auto probe = serviceByProbe_.find(outcome.probeId);
@@ -193,6 +205,7 @@
                     { "entries", std::uint64_t { entries_.sessions().size() } } });
         }
     }
+    assignCoordinators(now);
     removeSilentBackends(now);
     const bool hasChangedFailover = tickMonitors(now);
     if (hasChangedFailover || isPushDue_) {
@@ -282,6 +295,7 @@
         update.quotas = entries_.grantQuotas(now, entry, state_);
         update.controlVms = controlVms_;
         update.peers = entries_.peersFor(now, entry);
+        update.coordinators = coordinators_.respond(now, entry, session.report.runId);
         if (entries_.homesVersion() > session.report.homesVersion) {
             update.homes = entries_.homesSince(session.report.homesVersion);
         }
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -366,3 +366,27 @@
     const std::uint32_t second = report("e2", 1);
     CHECK(first + second <= 16 - ReservedConnections);
 }
+
+// Only a response may grant slots, since the entry counts the lease from its report.
+TEST(Supervisor, ResponsesAssignCoordinatorSlotsWhileRateLimitsExist)
+{
+    const auto report = [this](std::uint64_t sequence) {
+        updates.clear();
+        supervisor.onReport(now, VmId { "e" }, EntryReport { .runId = 1, .sequence = sequence });
+        performActions();
+        return updates.back().coordinators;
+    };
+    startService();
+    advance(3s);
+    CHECK(report(1).table.empty());
+    PutConfiguration change;
+    change.configuration.version = 2;
+    change.configuration.workspaces.push_back({ WorkspaceId { "w" }, { "key" }, 0, 10, 5 });
+    sendRequest(change);
+    advance(50ms);
+    CHECK(updates.size() > 1 && updates.back().coordinators.granted.empty());
+    const CoordinatorUpdate update = report(2);
+    CHECK_EQUAL(CoordinatorSlotCount, update.granted.size());
+    CHECK_EQUAL(1U, update.table.size());
+    CHECK_EQUAL(CoordinatorSlotCount, metrics.value("coordinator_changes_total{reason=\"assigned\"}"));
+}
