--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -130,6 +130,7 @@
 struct EntryUpdate {
     Term leaderTerm = 0;
     std::uint64_t sequence = 0; ///< Sequence of the last report received from the entry.
+    std::uint64_t runId = 0; ///< Run of the process that sent that report; zero if unknown.
     std::uint64_t configVersion = 0; ///< Latest committed version.
     std::optional<RouteConfiguration> configuration; ///< Present if the entry has an older one.
     std::optional<Topology> topology; ///< Present if the entry has an older one.
@@ -150,7 +151,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(leaderTerm, sequence, configVersion, configuration, topology, quotas, controlVms, peers,
+        archive(leaderTerm, sequence, runId, configVersion, configuration, topology, quotas, controlVms, peers,
             reportIntervalMs, homes, failingOver, number, topologyIndex, lease, withdrawn, coordinators);
     }
 };
--- a/lib/proxy/leases.cpp
+++ b/lib/proxy/leases.cpp
@@ -39,7 +39,8 @@
     }
     std::erase_if(withdrawnAt_, [this](const auto &entry) { return !lease_.isWithdrawn(entry.first); });
     // Under an older topology the lease would cover a primary that has been replaced.
-    if (update.lease > std::chrono::milliseconds::zero() && isTopologyCurrent) {
+    const bool isOwnReport = update.runId == 0 || update.runId == sessionIdBase_;
+    if (update.lease > std::chrono::milliseconds::zero() && isTopologyCurrent && isOwnReport) {
         if (!lease_.extend(update.sequence, update.lease)) {
             metrics_.add("leases_ignored_total");
         }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -26,7 +26,9 @@
     if (update.configuration) {
         applyConfiguration(now, *update.configuration);
     }
-    if (const std::optional<Instant> sentAt = sentReports_.sentAt(update.sequence); sentAt) {
+    // A report of a former run may have had the same sequence number.
+    const bool isOwnReport = update.runId == 0 || update.runId == sessionIdBase_;
+    if (const std::optional<Instant> sentAt = sentReports_.sentAt(update.sequence); sentAt && isOwnReport) {
         configurationLease_.confirm(*sentAt, update.configVersion, configuration_.version);
         applyCoordinators(now, *sentAt, update.coordinators);
     }
