--- a/lib/ratelimits/ratelimitclient.cpp
+++ b/lib/ratelimits/ratelimitclient.cpp
@@ -117,9 +117,7 @@
     dropExpired(now, tokenLifetime(options_), state);
     const bool isFirstCall = now <= waitingSince;
     if (takeFromStock(state) || takeOffline(now, state, coordinatorOf(workspace))) {
-        if (!isFirstCall) {
-            removeWaiting(state.waiting, waitingSince);
-        }
+        removeWaiting(state.waiting, waitingSince);
         state.recentUse.add(now, 1);
         state.steadyUse.add(now, 1);
         request(now, state);
--- a/lib/ratelimits/ratelimitoptions.cpp
+++ b/lib/ratelimits/ratelimitoptions.cpp
@@ -11,10 +11,9 @@
 constexpr double AdditionalBurstShare = 0.25;
 constexpr double OfflineSlackShare = 0.5;
 
-// An excess appears only if a new coordinator grants the whole rate to some entries while others, which do not reach
-// it, use their allowances. These are a minority: the leader that appoints coordinators reaches a majority of the
-// zones.
-constexpr double OfflineShareOfEntries = 0.5;
+// Allowances exceed the limit if a new coordinator grants the whole rate to some entries while the others do not reach
+// it. The leader that appoints the coordinator reaches a majority of three zones, so the others are a third of all.
+constexpr double OfflineShareOfEntries = 1.0 / 3;
 
 double seconds(Duration duration)
 {
