Request no tokens for operations that are about to be denied

With 69 entries at twice the rate (R = 100), 7% of the tokens reached entries whose operation had been denied, and expired.

--- a/lib/ratelimits/ratelimitclient.cpp
+++ b/lib/ratelimits/ratelimitclient.cpp
@@ -12,6 +12,10 @@
 // An operation waits this long for a token. A coordinator that takes longer counts as silent.
 constexpr Duration MaxWait = 60ms;
 
+// No token is requested for an operation that waits for no longer than this any more: the token would arrive after the
+// operation was denied and, at an entry with few operations, expire.
+constexpr Duration RoundTrip = 15ms;
+
 constexpr Duration RecentUseWindow = 250ms;
 constexpr Duration SteadyUseWindow = 1s;
 constexpr std::uint64_t RecentPerSteadyWindow = 4; // SteadyUseWindow / RecentUseWindow
@@ -33,9 +37,10 @@
 
 constexpr std::size_t MaxOutbox = 4096; // Reached only if nobody takes the requests.
 
-std::uint64_t waitingCount(const std::map<Instant, std::uint32_t> &waiting)
+// Returns the number of operations that wait since a time after \p since.
+std::uint64_t waitingCount(const std::map<Instant, std::uint32_t> &waiting, Instant since = Instant::min())
 {
-    return std::accumulate(waiting.begin(), waiting.end(), std::uint64_t { 0 },
+    return std::accumulate(waiting.upper_bound(since), waiting.end(), std::uint64_t { 0 },
         [](std::uint64_t sum, const auto &item) { return sum + item.second; });
 }
 
@@ -273,7 +278,7 @@
 {
     const std::uint64_t ahead
         = std::min(state.recentUse.total(now), state.steadyUse.total(now) / RecentPerSteadyWindow) / AheadDivisor;
-    const std::uint64_t waiting = waitingCount(state.waiting);
+    const std::uint64_t waiting = waitingCount(state.waiting, now - MaxWait + RoundTrip);
     std::uint64_t present = 0;
     for (const Batch &batch : state.stock) {
         present += batch.tokens;
@@ -313,12 +318,14 @@
     const bool isUnderway = std::any_of(state.sent.begin(), state.sent.end(),
         [now](const SentRequest &request) { return request.wanted > 0 && now < request.sentAt + MaxWait; });
     Instant next = now;
+    bool canWait = isUnderway;
     if (state.deniedUntil && now < *state.deniedUntil) {
         next = *state.deniedUntil;
+        canWait = false;
     } else if (isSilent(now, coordinator) && !isUnderway) {
         next = coordinator.vm.empty() ? now + MinRetryDelay : nextRequestAt(now, coordinator);
     }
-    if (now < latest && next < latest) {
+    if (now < latest && (canWait || next < latest - RoundTrip)) {
         return { Admission::Waiting, Duration { 0 } };
     }
     return { Admission::Denied, next > now ? next - now : MaxWait };
