Take the coordinator lease from entries with outdated limits

The test of appointments reports the configuration that it has, since an entry without one is appointed no more.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -33,7 +33,8 @@
     /// VM, so that other entries do not confuse sessions of different runs. \p revocationBound limits the use of a
     /// configuration that control has not confirmed as the newest; zero disables the limit.
     ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase = 0, ProxyTiming timing = {},
-        FencingPolicy fencing = FencingPolicy::Platform, Duration revocationBound = Duration::zero());
+        FencingPolicy fencing = FencingPolicy::Platform, Duration revocationBound = Duration::zero(),
+        RateLimitOptions rateLimits = {});
 
     /// Applies an update from the leader of the control VMs.
     void onControlUpdate(Instant now, const EntryUpdate &update);
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -42,6 +42,8 @@
     /// Duration of the authority over a coordinator slot. Limits how long the offline allowances of entries have to
     /// replace a lost coordinator.
     Duration coordinatorLease = std::chrono::milliseconds(2000);
+    /// A lowered rate limit is in force at all coordinators within this time of its acknowledgment.
+    Duration limitApplyTime = std::chrono::milliseconds(4000);
     /// A promotion without a response has been carried out by then, or never will be.
     Duration maxPromotionDelay = std::chrono::seconds(10);
     /// How long to wait after a start until exactly one server claims the primary role.
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -74,6 +74,8 @@
     void propose(SupervisionCommand command);
     void assignCoordinators(Instant now);
     [[nodiscard]] MonitorContext context();
+    /// Returns whether the entry may coordinate rate limits with the configuration that it has in force.
+    [[nodiscard]] bool hasCurrentLimits(Instant now, const EntryReport &report) const;
 
     EventLog &log_;
     Metrics &metrics_;
@@ -84,6 +86,7 @@
     Term ledTerm_ = 0; ///< Last term in which this VM was the leader.
     Instant leaderSince_ {};
     Instant homesAssignedAt_ {};
+    std::deque<std::pair<std::uint64_t, Instant>> recentVersions_; ///< Versions and when they were committed, in order.
     bool isPushDue_ = false;
     std::vector<VmId> controlVms_;
     EntryRegistry entries_;
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -14,14 +14,15 @@
 }
 
 ProxyCore::ProxyCore(ZoneId zone, EventLog &log, Metrics &metrics, std::uint64_t sessionIdBase, ProxyTiming timing,
-    FencingPolicy fencing, Duration revocationBound)
+    FencingPolicy fencing, Duration revocationBound, RateLimitOptions rateLimits)
     : zone_(std::move(zone))
     , log_(log)
     , metrics_(metrics)
     , timing_(timing)
     , directory_(std::make_shared<const WorkspaceDirectory>())
     , configurationLease_(revocationBound)
-    , rateLimits_(sessionIdBase)
+    , rateLimits_(sessionIdBase, rateLimits)
+    , coordinator_(rateLimits)
     , sessionIdBase_(sessionIdBase)
     , lease_(fencing)
 {
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -19,7 +19,8 @@
     : context_(context)
     , runId_(drawRandomNumber())
     , core_(context.settings.zone, context.log, context.metrics, runId_, {}, context.settings.fencing,
-          context.settings.revocationBound)
+          context.settings.revocationBound,
+          { context.settings.rateLimits.window, context.settings.rateLimits.excess, context.settings.rateLimits.slack })
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
     , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -91,6 +91,13 @@
     if (hasChanged) {
         logCommand(now, *command, entry.index);
     }
+    if (hasChanged && std::holds_alternative<PutConfiguration>(*command)) {
+        constexpr std::size_t MaxRecentVersions = 64;
+        recentVersions_.emplace_back(state_.configuration().version, now);
+        if (recentVersions_.size() > MaxRecentVersions) {
+            recentVersions_.pop_front();
+        }
+    }
     if (!isLeader_) {
         return;
     }
@@ -106,6 +113,15 @@
     isPushDue_ = isPushDue_ || (hasChanged && isUrgent);
 }
 
+// A lowered limit must be in force within LimitApplyTime of its acknowledgment. A coordinator that does not apply new
+// configurations therefore loses its authority in time to expire before that.
+bool Supervisor::hasCurrentLimits(Instant now, const EntryReport &report) const
+{
+    const Duration maxAge = timing_.limitApplyTime - timing_.coordinatorLease;
+    return std::none_of(recentVersions_.begin(), recentVersions_.end(),
+        [&](const auto &entry) { return entry.first > report.configVersion && now - entry.second >= maxAge; });
+}
+
 void Supervisor::logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index)
 {
     if (const auto *change = std::get_if<PutConfiguration>(&command); change != nullptr) {
@@ -296,7 +312,9 @@
         update.quotas = entries_.grantQuotas(now, entry, state_);
         update.controlVms = controlVms_;
         update.peers = entries_.peersFor(now, entry);
-        update.coordinators = coordinators_.respond(now, entry, session.report.runId);
+        if (hasCurrentLimits(now, session.report)) {
+            update.coordinators = coordinators_.respond(now, entry, session.report.runId);
+        }
         if (entries_.homesVersion() > session.report.homesVersion) {
             update.homes = entries_.homesSince(session.report.homesVersion);
         }
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -372,7 +372,7 @@
 {
     const auto report = [this](std::uint64_t sequence) {
         updates.clear();
-        supervisor.onReport(now, VmId { "e" }, EntryReport { .runId = 1, .sequence = sequence });
+        supervisor.onReport(now, VmId { "e" }, EntryReport { .runId = 1, .sequence = sequence, .configVersion = 1 });
         performActions();
         return updates.back().coordinators;
     };
@@ -390,3 +390,31 @@
     CHECK_EQUAL(1U, update.table.size());
     CHECK_EQUAL(CoordinatorSlotCount, metrics.value("coordinator_changes_total{reason=\"assigned\"}"));
 }
+
+// Guards against a coordinator that keeps granting at a former, higher limit because new configurations do not reach
+// it.
+TEST(Supervisor, EntryWithOutdatedLimitsLosesItsCoordinatorLease)
+{
+    const auto grantedTo = [this](std::uint64_t sequence, std::uint64_t configVersion) {
+        updates.clear();
+        EntryReport report { .runId = 1, .sequence = sequence };
+        report.configVersion = configVersion;
+        supervisor.onReport(now, VmId { "e" }, report);
+        performActions();
+        return updates.back().coordinators.granted.size();
+    };
+    startService();
+    advance(3s);
+    PutConfiguration change;
+    change.configuration.version = 2;
+    change.configuration.workspaces.push_back({ WorkspaceId { "w" }, { "key" }, 0, 10, 5 });
+    sendRequest(change);
+    CHECK(grantedTo(1, 2) > 0);
+    change.configuration.version = 3;
+    change.configuration.workspaces.front().operationsPerSecond = 5;
+    sendRequest(change);
+    CHECK(grantedTo(2, 2) > 0); // The new configuration is on its way.
+    advance(2100ms);
+    CHECK_EQUAL(0U, grantedTo(3, 2));
+    CHECK(grantedTo(4, 3) > 0);
+}
