--- a/unittests/supervision/coordinatorslotsproperty.cpp
+++ b/unittests/supervision/coordinatorslotsproperty.cpp
@@ -29,7 +29,7 @@
     VmId vm;
     ZoneId zone;
     double clockRate = 1;
-    std::uint64_t runId = 0; ///< Zero while the process does not run.
+    std::uint64_t runId = 0;
     bool isLeaving = false;
     Instant nextReportAt {};
     std::vector<SentReport> sent;
@@ -65,7 +65,7 @@
             SimulatedEntry &entry = entries_.at(index);
             entry.vm = VmId { "e" + std::to_string(index) };
             entry.zone = ZoneId { std::to_string(index % 3) };
-            entry.clockRate = 0.98 + 0.01 * static_cast<double>(index % 5); // Within ClockDriftMargin of the lease.
+            entry.clockRate = 0.976 + 0.012 * static_cast<double>(index % 5); // Within ClockDriftMargin of the lease.
             entry.runId = ++lastRun_;
         }
         changeLeader();
@@ -74,26 +74,22 @@
     void apply(const Fault &fault)
     {
         SimulatedEntry &entry = entries_.at(fault.entry % EntryCount);
-        switch (fault.kind % 8) {
+        const auto pause = std::chrono::milliseconds(random_() % 4000);
+        switch (fault.kind % 6) {
         case 0:
-            changeLeader();
+            leader_.reset();
+            nextLeaderAt_ = now_ + pause / 4;
             break;
         case 1:
-            leader_.reset();
+            entry = { entry.vm, entry.zone, entry.clockRate, ++lastRun_, false, now_ + pause };
             break;
         case 2:
-            entry = { entry.vm, entry.zone, entry.clockRate };
+            entry.isLeaving = true;
             break;
         case 3:
-            entry = { entry.vm, entry.zone, entry.clockRate, ++lastRun_ };
+            entry.nextReportAt = now_ + pause;
             break;
         case 4:
-            entry.isLeaving = true;
-            break;
-        case 5:
-            entry.nextReportAt = now_ + std::chrono::milliseconds(random_() % 4000);
-            break;
-        case 6:
             maxDelay_ = fault.entry % 2 == 0 ? 10ms : 3000ms;
             break;
         default:
@@ -106,8 +102,8 @@
     {
         for (const Instant end = now_ + duration; now_ < end; now_ += 10ms) {
             for (SimulatedEntry &entry : entries_) {
-                if (entry.runId != 0 && now_ >= entry.nextReportAt) {
-                    entry.nextReportAt = now_ + 200ms;
+                if (now_ >= entry.nextReportAt) {
+                    entry.nextReportAt = now_ + 100ms;
                     sendReport(entry);
                 }
             }
@@ -116,6 +112,9 @@
                 messages_.erase(messages_.begin());
                 deliver();
             }
+            if (!leader_ && now_ >= nextLeaderAt_) {
+                changeLeader();
+            }
             if (leader_) {
                 controls_.at(*leader_).assign(now_, true);
             }
@@ -130,7 +129,7 @@
         messages_.clear();
         maxDelay_ = 10ms;
         for (SimulatedEntry &entry : entries_) {
-            if (entry.runId == 0 || entry.isLeaving) {
+            if (entry.isLeaving) {
                 entry = { entry.vm, entry.zone, entry.clockRate, ++lastRun_ };
             }
             entry.nextReportAt = now_;
@@ -221,6 +220,7 @@
     std::array<CoordinatorSlots, 2> controls_ { CoordinatorSlots(log_, metrics_, {}),
         CoordinatorSlots(log_, metrics_, {}) };
     std::optional<std::size_t> leader_;
+    Instant nextLeaderAt_ {};
     Term term_ = 0;
     Duration maxDelay_;
     std::uint64_t lastRun_ = 0;
@@ -240,7 +240,7 @@
         simulation.run(2500ms);
         for (const auto &[kind, entry] : faults) {
             simulation.apply({ kind, entry });
-            simulation.run(std::chrono::milliseconds((kind / 8) * 50));
+            simulation.run(std::chrono::milliseconds((kind / 6) * 40));
         }
         simulation.endFaults();
         simulation.run(4s);
