Answer unchanged heartbeats at every control VM

All heartbeats went to the leader: at 3,000 backend servers these are 2,500 requests a second, in which changes of the configuration were lost.

Each control VM now answers a heartbeat that changes nothing from its own replicated state, for at most 2 s after it has sent a digest that a leader with a lease acknowledged, and not while its topology is behind that of the leader. Other heartbeats are forwarded as before. A digest each second tells the leader which servers were heard; with more than 128 servers, responses spread the servers over the control VMs whose digests arrive. Draining is acknowledged by the leader only, after the update to the entries.

--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -47,6 +47,15 @@
     Duration maxBackendSilence = std::chrono::milliseconds(4500);
     /// A backend server silent for longer than this is removed.
     Duration backendExpiry = std::chrono::seconds(30);
+    /// Interval between two digests of the heartbeats that a control VM has answered.
+    Duration digestInterval = std::chrono::seconds(1);
+    /// A digest without a response is replaced by another one after this time.
+    Duration digestRetryInterval = std::chrono::milliseconds(400);
+    /// A control VM answers heartbeats from its own state for this time after it has sent a digest that the leader
+    /// acknowledged. Allows for one lost digest.
+    Duration maxLeaderSilence = std::chrono::seconds(2);
+    /// Servers send no heartbeats to a control VM whose last digest is older than this. Three digests are missing then.
+    Duration maxControlVmSilence = std::chrono::seconds(3);
     /// Reports of an entry silent for longer than this are ignored.
     Duration maxEntrySilence = std::chrono::milliseconds(1500);
     /// The connections of an entry silent for longer than this are given to other entries.
@@ -81,6 +90,10 @@
 /// If there are more backend servers, an entry gets connections only to those that it requests.
 constexpr std::size_t MaxBackendsWithShares = 128;
 
+/// If there are more backend servers, their heartbeats are spread over all control VMs. One leader has answered those
+/// of as many servers in time.
+constexpr std::size_t MaxBackendsAtLeader = 128;
+
 /// Maximum number of backend servers whose homes are sent in one update, so that no update delays others for long.
 constexpr std::size_t MaxHomesPerUpdate = 64;
 
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -37,6 +38,14 @@
     /// Exactly one SendControlResponse with \p requestId follows. Requires this VM to be the leader.
     void onRequest(Instant now, std::uint64_t requestId, const ControlRequest &request);
 
+    /// Records the heartbeats that the control VM \p from has answered. \returns the response, or no value if the
+    /// digest was ignored. Requires this VM to be the leader.
+    std::optional<HeartbeatDigestResponse> onHeartbeatDigest(
+        Instant now, const VmId &from, const HeartbeatDigest &digest);
+
+    /// Returns the other control VMs that answer heartbeats.
+    [[nodiscard]] std::vector<VmId> heartbeatVms(Instant now) const;
+
     void onProbe(Instant now, const ProbeOutcome &outcome);
     void onPromotion(Instant now, const ServiceId &service, std::uint64_t token, PromotionOutcome outcome);
     void tick(Instant now);
@@ -53,6 +62,14 @@
         ControlRequest request;
     };
 
+    /// The last digest of a control VM.
+    struct ReportingControlVm {
+        std::uint64_t runId = 0;
+        std::uint64_t sequence = 0;
+        bool isLeaving = false;
+        Instant lastDigestAt {};
+    };
+
     void handleRequest(Instant now, std::uint64_t requestId, const PutConfiguration &change);
     void handleRequest(Instant now, std::uint64_t requestId, const ReadConfiguration &read);
     void handleRequest(Instant now, std::uint64_t requestId, const BackendHeartbeat &heartbeat);
@@ -89,6 +106,7 @@
     std::map<BackendId, Instant> lastHeartbeatAt_;
     /// Start time and sequence of the last accepted heartbeat.
     std::map<BackendId, std::pair<std::int64_t, std::uint64_t>> lastHeartbeat_;
+    std::map<VmId, ReportingControlVm> reportingControlVms_;
     std::map<ServiceId, PrimaryMonitor> monitors_;
     std::uint64_t monitoredTopology_ = 0; ///< Index of the topology whose services all have a monitor.
     std::set<ServiceId> failingOver_;
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -209,12 +209,12 @@
 struct ControlResult {
     ControlStatus status = ControlStatus::Unavailable;
     std::string body; ///< The configuration text as sent by the operator, in response to ReadConfiguration.
-    VmId leader; ///< The leader, which responds to later requests directly.
+    VmId heartbeatVm; ///< The control VM to which the backend server should send later heartbeats.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(status, body, leader);
+        archive(status, body, heartbeatVm);
     }
 };
 
@@ -242,9 +242,53 @@
     }
 };
 
+/// A backend server whose heartbeat another control VM than the leader has answered.
+struct HeardBackend {
+    BackendId backend;
+    std::int64_t startedAtMs = 0; ///< Identifies the incarnation of the server.
+    std::uint64_t sequence = 0; ///< Sequence of the heartbeat.
+    std::uint32_t ageMs = 0; ///< Time since the heartbeat when the digest was sent.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(backend, startedAtMs, sequence, ageMs);
+    }
+};
+
+/// A control VM reports to the leader which backend servers it has heard since the last acknowledged digest.
+struct HeartbeatDigest {
+    Term term = 0; ///< Term of the leader that the digest is meant for.
+    std::uint64_t runId = 0; ///< Random number drawn at each start of the process.
+    std::uint64_t sequence = 0; ///< Increases with each digest of a run.
+    bool isLeaving = false; ///< The VM shuts down soon and should get no further heartbeats.
+    std::vector<HeardBackend> heard;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(term, runId, sequence, isLeaving, heard);
+    }
+};
+
+/// The response of a leader that holds the leader lease.
+struct HeartbeatDigestResponse {
+    Term term = 0;
+    std::uint64_t runId = 0; ///< As in the digest.
+    std::uint64_t sequence = 0; ///< As in the digest.
+    std::uint64_t topologyIndex = 0; ///< Index of the leader's topology.
+    std::vector<VmId> heartbeatVms; ///< Control VMs that answer heartbeats.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(term, runId, sequence, topologyIndex, heartbeatVms);
+    }
+};
+
 using ClusterPayload = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControlRequest,
     ForwardedControlResponse, ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest,
-    PositionResponse, RateLimitRequest, RateLimitGrant>;
+    PositionResponse, RateLimitRequest, RateLimitGrant, HeartbeatDigest, HeartbeatDigestResponse>;
 
 struct ClusterMessage {
     VmId from;
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -17,6 +17,7 @@
 ControlNode::ControlNode(NodeContext &context)
     : context_(context)
     , supervisor_(context.log, context.metrics, drawRandomNumber(), {}, context.settings.fencing)
+    , heartbeats_(context.metrics, drawRandomNumber())
     , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
           [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); })
     , probes_(context.io, context.platform,
@@ -111,20 +112,27 @@
         onResult({});
         return;
     }
+    const auto *heartbeat = std::get_if<BackendHeartbeat>(&request);
+    const std::optional<BackendId> heartbeatOf
+        = heartbeat == nullptr ? std::nullopt : std::optional(heartbeat->record.id);
     const std::uint64_t id = nextRequestId_++;
     if (isLeader(now)) {
-        pendingRequests_[id] = { {}, std::move(onResult), now + 2 * ForwardTimeout };
+        pendingRequests_[id] = { heartbeatOf, std::move(onResult), now + 2 * ForwardTimeout };
         supervisor_.onLeadership(now, true, raft_->core().term(), controlVms());
         supervisor_.onRequest(now, id, request);
         runPendingActions(now);
         return;
     }
+    if (heartbeat != nullptr && heartbeats_.accept(now, supervisor_.state(), *heartbeat)) {
+        onResult({ ControlStatus::Done, {}, heartbeatVmOf(now, *heartbeatOf) });
+        return;
+    }
     const std::optional<VmId> leader = raft_->core().leader();
     if (!leader || *leader == context_.settings.id) {
         onResult({});
         return;
     }
-    pendingRequests_[id] = { request, std::move(onResult), now + ForwardTimeout };
+    pendingRequests_[id] = { heartbeatOf, std::move(onResult), now + ForwardTimeout };
     peers_.send(*leader, ForwardedControlRequest { id, std::move(request) });
 }
 
@@ -135,13 +143,39 @@
         return;
     }
     const std::function<void(ControlResult)> onResult = std::move(found->second.onResult);
-    pendingRequests_.erase(found);
-    if (result.leader.empty()) {
-        result.leader = raft_->core().leader().value_or(VmId {});
+    if (found->second.heartbeatOf && result.heartbeatVm.empty()) {
+        result.heartbeatVm = heartbeatVmOf(Clock::now(), *found->second.heartbeatOf);
     }
+    pendingRequests_.erase(found);
     onResult(std::move(result));
 }
 
+VmId ControlNode::heartbeatVmOf(Instant now, const BackendId &backend) const
+{
+    const std::size_t servers = supervisor_.state().backends().size();
+    if (!isLeader(now)) {
+        return chooseHeartbeatVm(
+            backend, servers, raft_->core().leader().value_or(VmId {}), heartbeats_.heartbeatVms());
+    }
+    std::vector<VmId> vms = supervisor_.heartbeatVms(now);
+    if (!drainStartedAt_) {
+        vms.push_back(context_.settings.id);
+    }
+    return chooseHeartbeatVm(backend, servers, context_.settings.id, vms);
+}
+
+void ControlNode::sendHeartbeatDigest(Instant now)
+{
+    const std::optional<VmId> leader = raft_->core().leader();
+    if (!leader || *leader == context_.settings.id) {
+        return;
+    }
+    if (std::optional<HeartbeatDigest> digest
+        = heartbeats_.takeDigest(now, *leader, raft_->core().term(), drainStartedAt_.has_value())) {
+        peers_.send(*leader, std::move(*digest));
+    }
+}
+
 void ControlNode::onPeerMessage(const VmId &from, ClusterPayload payload)
 {
     const Instant now = Clock::now();
@@ -169,6 +203,20 @@
         });
     } else if (auto *result = std::get_if<ForwardedControlResponse>(&payload); result != nullptr) {
         finishRequest(result->id, std::move(result->result));
+    } else if (auto *digest = std::get_if<HeartbeatDigest>(&payload); digest != nullptr) {
+        if (!isLeader(now)) {
+            context_.metrics.add(R"(heartbeat_digests_ignored_total{reason="not-leader"})");
+            return;
+        }
+        supervisor_.onLeadership(now, true, raft_->core().term(), controlVms());
+        if (std::optional<HeartbeatDigestResponse> response = supervisor_.onHeartbeatDigest(now, from, *digest)) {
+            if (!drainStartedAt_) {
+                response->heartbeatVms.push_back(context_.settings.id);
+            }
+            peers_.send(from, std::move(*response));
+        }
+    } else if (auto *acknowledged = std::get_if<HeartbeatDigestResponse>(&payload); acknowledged != nullptr) {
+        heartbeats_.onResponse(from, *acknowledged);
     }
 }
 
@@ -203,6 +251,7 @@
     runPendingActions(now);
     supervisor_.tick(now);
     runPendingActions(now);
+    sendHeartbeatDigest(now);
     probes_.tick(now);
     std::vector<std::uint64_t> overdue;
     for (const auto &[id, request] : pendingRequests_) {
@@ -269,7 +318,6 @@
     } else if (auto *update = std::get_if<SendEntryUpdate>(&action); update != nullptr) {
         peers_.send(update->entry, std::move(update->update));
     } else if (auto *response = std::get_if<SendControlResponse>(&action); response != nullptr) {
-        response->result.leader = context_.settings.id;
         finishRequest(response->requestId, std::move(response->result));
     } else if (auto *probe = std::get_if<ProbeBackend>(&action); probe != nullptr) {
         probes_.startProbe(*probe);
--- a/lib/runtime/controlnode.h
+++ b/lib/runtime/controlnode.h
@@ -22,7 +22,7 @@
 private:
     /// A control request that waits for a commit, or for the result of the leader that it was forwarded to.
     struct PendingRequest {
-        ControlRequest request;
+        std::optional<BackendId> heartbeatOf; ///< The sender, if the request is a heartbeat.
         std::function<void(ControlResult result)> onResult;
         Instant deadline {};
     };
@@ -42,6 +42,9 @@
     /// Calls the platform to promote a replica and reports the outcome to the supervisor.
     void requestPromotion(const PromoteThroughPlatform &promotion);
     void finishRequest(std::uint64_t id, ControlResult result);
+    void sendHeartbeatDigest(Instant now);
+    /// Returns the control VM to which \p backend should send its heartbeats.
+    [[nodiscard]] VmId heartbeatVmOf(Instant now, const BackendId &backend) const;
     [[nodiscard]] std::vector<VmId> controlVms() const;
     /// Whether this VM is the leader and holds the leader lease, so that its own state is current.
     [[nodiscard]] bool isLeader(Instant now) const;
@@ -49,6 +52,7 @@
     NodeContext &context_;
     Counters counters_;
     Supervisor supervisor_;
+    HeartbeatResponder heartbeats_;
     PeerTransport peers_;
     ProbeClient probes_;
     std::unique_ptr<RaftDriver> raft_;
--- a/lib/supervision/controlrequests.cpp
+++ b/lib/supervision/controlrequests.cpp
@@ -82,6 +82,10 @@
     }
     if (const auto *heartbeat = std::get_if<BackendHeartbeat>(&controlRequest); heartbeat != nullptr) {
         const BackendRecord &record = heartbeat->record;
+        // A server may shut down once its draining is acknowledged, so the update to the entries is sent first.
+        if (record.isDraining && isPushDue_) {
+            return false;
+        }
         const BackendRecord *known = state_.find(record.id);
         if (known == nullptr || known->startedAtMs < record.startedAtMs) {
             return state_.isOutdated(record);
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -44,6 +44,7 @@
     leases_.reset(now);
     lastHeartbeatAt_.clear();
     lastHeartbeat_.clear();
+    reportingControlVms_.clear();
     // A promotion that a former leader has decided may take effect at any time, so that no update may lift its
     // withdrawal.
     for (const auto &[service, promotion] : state_.pendingPromotions()) {
@@ -97,11 +98,12 @@
             monitor->second.onPromotionCommitted(now, *decision, entry.index, context());
         }
     }
-    respondToCompleted(now);
     // With many entries, changes of backend servers wait for the next report of each.
-    const bool isUrgent = !std::holds_alternative<RecordBackend>(*command)
+    const auto *record = std::get_if<RecordBackend>(&*command);
+    const bool isUrgent = record == nullptr || record->record.isDraining
         || entries_.sessions().size() <= timing_.maxEntriesForBackendPush;
     isPushDue_ = isPushDue_ || (hasChanged && isUrgent);
+    respondToCompleted(now);
 }
 
 void Supervisor::logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index)
