Send configurations as changes, encoded once for each base version

The leader copied and encoded the whole configuration for each entry, and sent it again each second while the first copy still waited at its link.

EntryUpdate now carries an encoded ConfigurationUpdate: a change of the version that the entry reported, or the whole configuration if that version is not among the last 16, or if the entry could not apply a change. ConfigurationWindow bounds the bytes in flight and follows the time that confirmations take.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -141,6 +141,8 @@
 
     // topology.cpp
     void applyConfiguration(Instant now, const RouteConfiguration &configuration);
+    /// Applies an encoded ConfigurationUpdate. Requests the whole configuration if that is not possible.
+    void applyConfigurationUpdate(Instant now, const std::string &bytes);
     void applyTopology(Instant now, const Topology &topology);
     void applyHomes(const HomesUpdate &update);
     [[nodiscard]] Topology completeTopology() const;
@@ -286,6 +288,7 @@
     RouteConfiguration configuration_;
     std::shared_ptr<const WorkspaceDirectory> directory_; ///< Of the configuration in force.
     ConfigurationLease configurationLease_;
+    bool needsWholeConfiguration_ = false; ///< The last change of the configuration could not be applied.
     std::uint64_t newestVersion_ = 0; ///< Highest configuration version that control has named.
     Topology topology_; ///< Only the index is used; pools and services hold the rest.
     std::uint64_t controlTopologyIndex_ = 0; ///< Index that control had at its last update.
--- a/include/daisyrelay/supervision.h
+++ b/include/daisyrelay/supervision.h
@@ -2,6 +2,7 @@
 // name.
 #pragma once
 
+#include "daisyrelay/supervision/configurationupdates.h"
 #include "daisyrelay/supervision/heartbeatresponder.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/supervisionactions.h"
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -18,8 +18,8 @@
     std::map<BackendId, std::uint32_t> granted;
     std::set<BackendId> homeOf; ///< Backend servers for which the entry is a home.
     std::uint64_t configSent = 0; ///< Version of the last configuration that was sent to the entry.
+    bool isWholeConfigSent = false; ///< Whether that configuration was sent whole because the entry asked for it.
     std::uint64_t topologySent = 0; ///< Index of the last topology that was sent to the entry.
-    Instant configSentAt {};
     Instant topologySentAt {};
 };
 
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -2,6 +2,8 @@
 // and the connections that each entry may use. On other control VMs the supervisor only applies the log.
 #pragma once
 
+#include "daisyrelay/supervision/configurationupdates.h"
+#include "daisyrelay/supervision/configurationwindow.h"
 #include "daisyrelay/supervision/entryregistry.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/primarymonitor.h"
@@ -86,6 +88,8 @@
     [[nodiscard]] Duration probeInterval() const;
     void pushUpdates(Instant now);
     void pushUpdate(Instant now, const VmId &entry, bool isResponse);
+    /// Adds the configuration that \p session lacks, unless it is in flight.
+    void addConfiguration(Instant now, const VmId &entry, ReportingEntry &session, EntryUpdate &update);
     void propose(SupervisionCommand command);
     [[nodiscard]] MonitorContext context();
 
@@ -93,6 +97,8 @@
     Metrics &metrics_;
     SupervisionTiming timing_;
     SupervisionState state_;
+    ConfigurationUpdates configurations_;
+    ConfigurationWindow configurationWindow_;
     bool isLeader_ = false;
     Term term_ = 0;
     Term ledTerm_ = 0; ///< Last term in which this VM was the leader.
--- a/include/daisyrelay/wire.h
+++ b/include/daisyrelay/wire.h
@@ -5,6 +5,7 @@
 #include "daisyrelay/wire/backendrecord.h"
 #include "daisyrelay/wire/clustermessages.h"
 #include "daisyrelay/wire/codec.h"
+#include "daisyrelay/wire/configurationchange.h"
 #include "daisyrelay/wire/controlmessages.h"
 #include "daisyrelay/wire/gossipmessage.h"
 #include "daisyrelay/wire/leasemessages.h"
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/wire/backendrecord.h"
+#include "daisyrelay/wire/configurationchange.h"
 #include "daisyrelay/wire/forwardingmessages.h"
 #include "daisyrelay/wire/raftmessages.h"
 #include "daisyrelay/wire/ratelimitmessages.h"
@@ -62,6 +63,7 @@
     std::uint64_t runId = 0; ///< Random number drawn at each start of the process.
     std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0; ///< Version of the configuration in force on the entry.
+    bool needsWholeConfiguration = false; ///< The entry could not apply the last change.
     std::uint64_t topologyIndex = 0; ///< Index of the topology that the entry has.
     std::uint64_t homesVersion = 0; ///< Version of the homes that the entry has.
     bool isLeaving = false; ///< The entry shuts down soon and should hold nothing that others need.
@@ -74,8 +76,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(name, zone, runId, sequence, configVersion, topologyIndex, homesVersion, isLeaving, heldQuotas,
-            requestedQuotas, primaries, released, coordinators);
+        archive(name, zone, runId, sequence, configVersion, needsWholeConfiguration, topologyIndex, homesVersion,
+            isLeaving, heldQuotas, requestedQuotas, primaries, released, coordinators);
     }
 };
 
@@ -131,7 +133,9 @@
     Term leaderTerm = 0;
     std::uint64_t sequence = 0; ///< Sequence of the last report received from the entry.
     std::uint64_t configVersion = 0; ///< Latest committed version.
-    std::optional<RouteConfiguration> configuration; ///< Present if the entry has an older one.
+    /// An encoded ConfigurationUpdate, the same bytes for all entries with the same version. Empty if the entry has the
+    /// latest version.
+    std::string configuration;
     std::optional<Topology> topology; ///< Present if the entry has an older one.
     std::vector<ConnectionQuota> quotas; ///< Changed quotas only.
     std::vector<VmId> controlVms;
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -95,6 +95,7 @@
 {
     report.zone = zone_;
     report.configVersion = configuration_.version;
+    report.needsWholeConfiguration = needsWholeConfiguration_;
     report.topologyIndex = topology_.index;
     report.homesVersion = homesVersion_;
     report.isLeaving = drainStartedAt_.has_value();
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -23,8 +23,8 @@
     }
     lastControlUpdateAt_ = now;
     newestVersion_ = std::max(newestVersion_, update.configVersion);
-    if (update.configuration) {
-        applyConfiguration(now, *update.configuration);
+    if (!update.configuration.empty()) {
+        applyConfigurationUpdate(now, update.configuration);
     }
     configurationLease_.confirm(update.sequence, update.configVersion, configuration_.version);
     if (update.topology) {
@@ -61,7 +61,7 @@
     update.sequence = report.sequence;
     update.configVersion = configuration_.version;
     if (report.configVersion < configuration_.version) {
-        update.configuration = configuration_;
+        update.configuration = encodeConfigurationUpdate(configuration_);
     }
     // While parts are missing, this entry cannot tell which backend servers exist.
     if (report.topologyIndex < topology_.index && topology_.index >= controlTopologyIndex_) {
@@ -87,8 +87,8 @@
 
 void ProxyCore::onPeerUpdate(Instant now, const EntryUpdate &update)
 {
-    if (update.configuration) {
-        applyConfiguration(now, *update.configuration);
+    if (!update.configuration.empty()) {
+        applyConfigurationUpdate(now, update.configuration);
     }
     if (update.topology) {
         applyTopology(now, *update.topology);
@@ -96,6 +96,33 @@
     dispatchAll(now);
 }
 
+void ProxyCore::applyConfigurationUpdate(Instant now, const std::string &bytes)
+{
+    const Expected<ConfigurationUpdate> update = decodeConfigurationUpdate(bytes);
+    if (!update) {
+        metrics_.add("configurations_unreadable_total");
+        log_.log(now, "config.unreadable", { { "error", std::string_view(update.error().detail) } });
+        needsWholeConfiguration_ = true;
+        return;
+    }
+    if (const auto *whole = std::get_if<RouteConfiguration>(&*update); whole != nullptr) {
+        applyConfiguration(now, *whole);
+        return;
+    }
+    const auto &change = std::get<ConfigurationChange>(*update);
+    if (change.version <= configuration_.version) {
+        return;
+    }
+    if (const Expected<RouteConfiguration> changed = applyChange(configuration_, change); changed) {
+        applyConfiguration(now, *changed);
+        return;
+    }
+    metrics_.add("configuration_changes_refused_total");
+    log_.log(now, "config.change-refused",
+        { { "version", change.version }, { "base", change.baseVersion }, { "current", configuration_.version } });
+    needsWholeConfiguration_ = true;
+}
+
 void ProxyCore::applyConfiguration(Instant now, const RouteConfiguration &configuration)
 {
     if (configuration.version <= configuration_.version) {
@@ -106,6 +133,7 @@
             { "routes", std::uint64_t { configuration.routes.size() } },
             { "workspaces", std::uint64_t { configuration.workspaces.size() } } });
     configuration_ = configuration;
+    needsWholeConfiguration_ = false;
     metrics_.set("config_version", static_cast<std::int64_t>(configuration_.version));
     transactionIdleTimeout_ = configuration.transactionIdleTimeout;
     std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>> routes;
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -288,7 +288,7 @@
     }
     core_.onControlUpdate(now, update);
     performActions();
-    if (update.configuration || update.topology || !update.quotas.empty()) {
+    if (!update.configuration.empty() || update.topology || !update.quotas.empty()) {
         sendReport(now);
     }
 }
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -45,6 +45,7 @@
     lastHeartbeatAt_.clear();
     lastHeartbeat_.clear();
     reportingControlVms_.clear();
+    configurationWindow_.reset();
     // A promotion that a former leader has decided may take effect at any time, so that no update may lift its
     // withdrawal.
     for (const auto &[service, promotion] : state_.pendingPromotions()) {
@@ -87,6 +88,9 @@
         return;
     }
     const bool hasChanged = state_.apply(entry.index, *command);
+    if (hasChanged && std::holds_alternative<PutConfiguration>(*command)) {
+        configurations_.record(state_.configuration());
+    }
     if (hasChanged) {
         logCommand(now, *command, entry.index);
     }
@@ -135,6 +139,7 @@
         return tl::unexpected(state.error());
     }
     state_ = std::move(*state);
+    configurations_.record(state_.configuration());
     return {};
 }
 
@@ -154,6 +159,9 @@
         metrics_.add("reports_outdated_total");
         return;
     }
+    if (report.configVersion >= entries_.sessions().at(entry).configSent) {
+        configurationWindow_.onConfirmed(now, entry);
+    }
     if (const std::size_t ignored = leases_.recordReport(entry, report.runId, report.released); ignored > 0) {
         metrics_.add("releases_ignored_total", ignored);
     }
@@ -187,6 +195,7 @@
         return;
     }
     entries_.removeExpired(now);
+    configurationWindow_.removeExpired(now);
     if (now - homesAssignedAt_ >= timing_.homeAssignmentInterval) {
         homesAssignedAt_ = now;
         if (entries_.assignHomes(now, state_)) {
@@ -252,6 +261,27 @@
     }
 }
 
+void Supervisor::addConfiguration(Instant now, const VmId &entry, ReportingEntry &session, EntryUpdate &update)
+{
+    const EntryReport &report = session.report;
+    const bool isChangeRefused = report.needsWholeConfiguration && !session.isWholeConfigSent;
+    // At most one configuration is in flight to an entry, so that after many changes in a row only the latest is sent.
+    if (report.configVersion >= update.configVersion
+        || (configurationWindow_.isInFlight(now, entry) && !isChangeRefused)) {
+        return;
+    }
+    const std::string &bytes = report.needsWholeConfiguration ? configurations_.encodedWhole()
+                                                              : configurations_.encodedFrom(report.configVersion);
+    if (!configurationWindow_.hasRoomFor(bytes.size())) {
+        return;
+    }
+    configurationWindow_.onSent(now, entry, bytes.size());
+    metrics_.add("configuration_bytes_sent_total", bytes.size());
+    update.configuration = bytes;
+    session.isWholeConfigSent = report.needsWholeConfiguration;
+    session.configSent = update.configVersion;
+}
+
 void Supervisor::pushUpdate(Instant now, const VmId &entry, bool isResponse)
 {
     ReportingEntry &session = entries_.sessions().at(entry);
@@ -259,14 +289,7 @@
     update.leaderTerm = term_;
     update.sequence = session.report.sequence;
     update.configVersion = state_.configuration().version;
-    const bool mustResendConfig = now - session.configSentAt > timing_.pushRetryInterval;
-    const bool isConfirmed = session.report.configVersion >= session.configSent;
-    // At most one configuration is in flight to an entry, so that after many changes in a row only the latest is sent.
-    if (session.report.configVersion < update.configVersion && (mustResendConfig || isConfirmed)) {
-        update.configuration = state_.configuration();
-        session.configSent = update.configVersion;
-        session.configSentAt = now;
-    }
+    addConfiguration(now, entry, session, update);
     const std::uint64_t topologyIndex = state_.topologyIndex();
     const bool mustResendTopology = now - session.topologySentAt > timing_.pushRetryInterval;
     const bool isTopologyConfirmed = session.report.topologyIndex >= session.topologySent;
--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -32,7 +32,7 @@
     configuration.routes.push_back(route);
     configuration.services.push_back({ Service, 16, 0 });
     configuration.transactionIdleTimeout = 3000ms;
-    update.configuration = configuration;
+    update.configuration = encodeConfigurationUpdate(configuration);
     core.onControlUpdate(now, update);
     performActions();
 }
--- a/unittests/scale/controlsimulation.cpp
+++ b/unittests/scale/controlsimulation.cpp
@@ -194,7 +194,7 @@
                         entry.core->onControlUpdate(now_, message);
                         entry.reportDueAt
                             = std::min(entry.reportDueAt, now_ + std::chrono::milliseconds(message.reportIntervalMs));
-                        if (message.configuration || message.topology || !message.quotas.empty()) {
+                        if (!message.configuration.empty() || message.topology || !message.quotas.empty()) {
                             entry.reportDueAt = now_;
                         }
                         performEntryActions(index);
--- a/unittests/scale/heartbeatscaletest.cpp
+++ b/unittests/scale/heartbeatscaletest.cpp
@@ -106,7 +106,7 @@
         server.controlVm = static_cast<std::size_t>(std::find(ids.begin(), ids.end(), next) - ids.begin());
     }
 
-    void run(Duration duration)
+    void advance(Duration duration)
     {
         for (const Instant end = now + duration; now < end; now += 40ms) {
             for (Server &server : servers) {
@@ -148,9 +148,9 @@
 TEST(HeartbeatScale, LeaderGetsItsShareAndOneDigestASecondOfEachControlVm)
 {
     constexpr std::uint64_t Seconds = 12;
-    run(6s);
+    advance(6s);
     resetCounts();
-    run(std::chrono::seconds(Seconds));
+    advance(std::chrono::seconds(Seconds));
     const std::uint64_t share = Servers * Seconds * 1s / HeartbeatInterval / ControlVms;
     std::uint64_t forwarded = 0;
     std::uint64_t heartbeats = 0;
@@ -169,11 +169,11 @@
 // A failed control VM must not be named again and again, and no server that it alone heard may be removed.
 TEST(HeartbeatScale, ServersOfAFailedControlVmTurnToOthers)
 {
-    run(6s);
+    advance(6s);
     vms[3].isDown = true;
-    run(8s);
+    advance(8s);
     resetCounts();
-    run(30s);
+    advance(30s);
     CHECK_EQUAL(0U, unanswered);
     CHECK_EQUAL(Servers, leader.state().backends().size());
 }
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -318,14 +318,16 @@
     }
     std::size_t sent = 0;
     for (const EntryUpdate &update : updates) {
-        sent += update.configuration.has_value() ? 1 : 0;
+        sent += update.configuration.empty() ? 0 : 1;
     }
     CHECK(sent <= 3); // An unconfirmed configuration is sent again every second.
     report.sequence = 2;
     report.configVersion = 1;
     supervisor.onReport(now += 2s, VmId { "e" }, report);
     performActions();
-    CHECK_EQUAL(41U, updates.back().configuration->version);
+    // The entry has version 1, which is no longer known after 41 versions, so it gets the whole configuration.
+    const Expected<ConfigurationUpdate> update = decodeConfigurationUpdate(updates.back().configuration);
+    CHECK_EQUAL(41U, std::get<RouteConfiguration>(*update).version);
 }
 
 TEST(Supervisor, SnapshotContainsCompleteState)
