--- a/include/daisyrelay/supervision.h
+++ b/include/daisyrelay/supervision.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "daisyrelay/supervision/coordinatorslots.h"
+#include "daisyrelay/supervision/configurationupdates.h"
+#include "daisyrelay/supervision/heartbeatresponder.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/supervisionactions.h"
 #include "daisyrelay/supervision/supervisionstate.h"
--- a/unittests/proxy/workspacestest.cpp
+++ b/unittests/proxy/workspacestest.cpp
@@ -174,7 +174,7 @@
     configuration.routes.push_back(route);
     EntryUpdate update;
     update.configVersion = configuration.version;
-    update.configuration = configuration;
+    update.configuration = encodeConfigurationUpdate(configuration);
     service.core.onControlUpdate(service.now, update);
     service.reportToControl();
     CHECK(service.callers[service.open("a", "none")].isAccepted);
