Form groups with all databases that start, and acknowledge nothing while a group of one is joined

Cause of e2e_failover: a new group formed one second after its first database had become known, with whatever was known then. If that was one database, the second one joined in a transition during which entries already acknowledged writes with its copy, while a survey still required the former sole member.

Ruled out: a probe, survey or promotion whose result is lost (HttpConnection always calls back), groups unknown to a new leader, and changes of the leader around the kill (half of the runs of the test).

Change: a group forms once no further database has become known for a second, and with a single database after three seconds. While the sole member is joined by a second one, copies at the latter do not count for acknowledgments.

--- a/include/daisyrelay/control/controltiming.h
+++ b/include/daisyrelay/control/controltiming.h
@@ -9,8 +9,11 @@
 struct ControlTiming {
     Duration leaseDuration = std::chrono::milliseconds(1000);
     Duration maxClockDrift = std::chrono::milliseconds(50); ///< Added to each lease by the side that waits for its end.
-    /// How long the databases of a new group have to announce themselves.
+    /// A new group forms once no further database has announced itself for this long.
     Duration formationDelay = std::chrono::milliseconds(1000);
+    /// A new group of which only one database is known forms after this time. Such a group has no failover until a
+    /// second database has joined, so it waits for processes that start late.
+    Duration soleFormationDelay = std::chrono::milliseconds(3000);
     /// A primary without an announcement for longer than this is probed.
     Duration probeAfterSilence = std::chrono::milliseconds(400);
     /// A primary without an announcement for longer than this is suspected.
--- a/include/daisyrelay/control/groupmembers.h
+++ b/include/daisyrelay/control/groupmembers.h
@@ -23,6 +23,11 @@
     /// members, so at most one member may be missing; a group with one member needs that one.
     [[nodiscard]] bool canPromote(const std::set<BackendId> &responded) const;
 
+    /// Returns the databases whose copies count for an acknowledgment. While the sole member of a group is joined by a
+    /// second one, no copy of the latter counts: the survey still requires the former, so the write would not survive
+    /// it.
+    [[nodiscard]] const std::vector<BackendId> &acknowledgingMembers() const;
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
--- a/lib/control/controlcore.cpp
+++ b/lib/control/controlcore.cpp
@@ -241,7 +241,7 @@
     for (const auto &[group, term] : state_.terms()) {
         GroupTerm row = term;
         if (const auto members = state_.members().find(group); members != state_.members().end()) {
-            row.members = members->second.members;
+            row.members = members->second.acknowledgingMembers();
         }
         tables_.setTerm(row);
     }
--- a/lib/control/groupmembermanager.cpp
+++ b/lib/control/groupmembermanager.cpp
@@ -23,15 +23,15 @@
     Instant now, const GroupKey &group, const KnownBackends &backends, Instant leaderSince)
 {
     Progress &progress = progress_[group];
-    Instant firstSeenAt = now;
+    Instant newestSeenAt = leaderSince;
     std::vector<BackendId> members;
     for (const KnownBackend *known : backends.ofGroup(group)) {
-        firstSeenAt = std::min(firstSeenAt, known->firstSeenAt);
+        newestSeenAt = std::max(newestSeenAt, known->firstSeenAt);
         if (!known->announcement.isLeaving && now < known->lastSeenAt + timing_.formationDelay) {
             members.push_back(known->announcement.id);
         }
     }
-    const Instant readyAt = std::max(firstSeenAt, leaderSince) + timing_.formationDelay;
+    const Instant readyAt = newestSeenAt + (members.size() == 1 ? timing_.soleFormationDelay : timing_.formationDelay);
     if (members.empty() || now < readyAt || now < progress.proposedAt + ProposalInterval) {
         return std::nullopt;
     }
--- a/lib/control/groupmembers.cpp
+++ b/lib/control/groupmembers.cpp
@@ -19,6 +19,11 @@
     return std::find(members.begin(), members.end(), backend) != members.end();
 }
 
+const std::vector<BackendId> &GroupMembers::acknowledgingMembers() const
+{
+    return previous.size() == 1 ? previous : members;
+}
+
 bool GroupMembers::canPromote(const std::set<BackendId> &responded) const
 {
     if (responded.empty() || !includesAcknowledgedWrites(members, responded)) {
--- a/unittests/control/fakesystem.cpp
+++ b/unittests/control/fakesystem.cpp
@@ -182,8 +182,10 @@
             replicate(database);
             database.announcement.point = database.point();
             ++database.announcement.version;
-            for (const auto &core : cores) {
-                core->onAnnouncement(now, database.announcement);
+            for (std::size_t i = 0; i < cores.size(); ++i) {
+                if (database.heardFrom.empty() || now >= database.heardFrom.at(i)) {
+                    cores[i]->onAnnouncement(now, database.announcement);
+                }
             }
         }
     }
--- a/unittests/control/fakesystem.h
+++ b/unittests/control/fakesystem.h
@@ -23,6 +23,7 @@
 struct FakeDatabase {
     BackendAnnouncement announcement;
     FakeHealth health = FakeHealth::Healthy;
+    std::vector<Instant> heardFrom; ///< Time from which each control VM receives the announcements; empty: always.
     std::vector<Term> log; ///< Term of the entry at each position, starting with position 1.
     Term followed = 0; ///< Highest term in which the database was promoted or instructed to follow a primary.
 
