Reject what cannot run in time at once and stop duplicate work at homes

Cause: under a burst, an entry gave up a read after 250 ms while its home still worked on it and sent it to another home; a home checked the predicted wait only of a statement that found an empty queue, so that most refusals came after 300 ms of waiting; and an entry sent a refused statement every 8 ms again.

Change: HomeLoads keeps what homes report with their responses and chooses among them. A home counts as silent only if it does not answer a probe. A home rejects on arrival what it cannot run in time, and an entry sends a statement to at most two homes that reject it for load. A broken connection gives the home up at once. AdmissionQueue orders waiting statements.

--- a/include/daisyrelay/proxy/proxyactions.h
+++ b/include/daisyrelay/proxy/proxyactions.h
@@ -56,7 +56,7 @@
 struct SendToEntry {
     VmId to;
     std::variant<ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest, PositionResponse,
-        RateLimitRequest, RateLimitGrant>
+        RateLimitRequest, RateLimitGrant, HomeProbe, HomeProbeResponse>
         message;
 };
 
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -1,6 +1,7 @@
 // Sessions of callers: runs their statements on backend servers, directly or through other entries.
 #pragma once
 
+#include "daisyrelay/admission.h"
 #include "daisyrelay/proxy/backendpool.h"
 #include "daisyrelay/proxy/configurationlease.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
@@ -56,6 +57,12 @@
     void onForwardedStatementResponse(Instant now, const VmId &from, const ForwardedStatementResponse &response);
     void onForwardedSessionEnd(Instant now, const VmId &from, const ForwardedSessionEnd &end);
     void onPositionRequest(Instant now, const VmId &from, const PositionRequest &request);
+    void onHomeProbe(const VmId &from, const HomeProbe &probe);
+    void onHomeProbeResponse(Instant now, const VmId &from);
+
+    /// Called when no connection to another entry is left. Statements forwarded there are given up; queued statements
+    /// from there are dropped.
+    void onEntryDisconnected(Instant now, const VmId &entry);
     void onPositionResponse(Instant now, const VmId &from, const PositionResponse &response);
 
     void onConnectionOpened(Instant now, ConnectionId connection);
@@ -98,10 +105,9 @@
         std::set<BackendId> backends; ///< All backend servers of the service.
         bool isFailingOver = false;
         FreshnessHistory freshness;
-        std::set<std::tuple<std::uint32_t, Instant, SessionId>> queue; ///< Ordered by priority and arrival.
+        AdmissionQueue queue;
         Instant lastUsedAt {}; ///< When a statement was last submitted.
         Instant lastSampledAt {}; ///< When a position was last requested.
-        std::size_t queuedForPrimary = 0; ///< Queued statements that only the primary can run.
         std::map<std::uint64_t, Instant> positionRequests; ///< When each request to a home was sent, by sequence.
         struct PositionRequester {
             VmId entry;
@@ -111,10 +117,10 @@
         std::vector<PositionRequester> positionRequesters; ///< Entries that wait for a position of the primary.
     };
 
-    /// State of a home: an entry that runs statements for this one.
-    struct HomeState {
-        std::size_t inFlight = 0; ///< Forwarded statements without a response.
-        Instant avoidUntil {}; ///< No statement is forwarded to the home before this time.
+    /// A forwarded session that its entry has ended.
+    struct EndedSession {
+        std::uint64_t sequence = 0; ///< Statements up to this sequence number must not run.
+        Instant endedAt {};
     };
 
     /// A session that waits for the first configuration.
@@ -176,10 +182,6 @@
 
     // workspaceconnections.cpp
     void openForWorkspace(Instant now, BackendPool &pool, const WorkspaceId &workspace, std::size_t queued);
-    [[nodiscard]] std::size_t countQueued(
-        const Service &service, const WorkspaceId &workspace, bool needsPrimary) const;
-    [[nodiscard]] const VmId *chooseWorkspaceHome(
-        Instant now, const std::vector<VmId> &homes, const WorkspaceId &workspace) const;
 
     // statements.cpp
     /// Rolls the transaction back and rejects all its later statements.
@@ -202,7 +204,6 @@
     Placement placeRead(Instant now, Session &session, Service &service, const LogPoint &minPoint);
     /// \p hasServerCapacity tells whether the server has room for other workspaces than the one of the session.
     Placement waitOrReject(Instant now, Session &session, Duration predictedWait, bool hasServerCapacity);
-    [[nodiscard]] std::size_t countAhead(const Session &session, const Service &service, bool onlyForPrimary) const;
     [[nodiscard]] Duration predictReadWait(
         Instant now, const Session &session, const Service &service, const LogPoint &minPoint) const;
     BackendPool *cheapestPool(
@@ -217,12 +218,15 @@
     // forwarding.cpp
     Placement placeRemotely(Instant now, Session &session, Service &service, bool needsPrimary);
     const BackendId *chooseRemoteServer(
-        Instant now, const PendingStatement &pending, const Service &service, bool needsPrimary) const;
-    const VmId *chooseHome(Instant now, const BackendId &backend, const WorkspaceId &workspace) const;
+        Instant now, const Session &session, const Service &service, bool needsPrimary) const;
+    const VmId *chooseHome(Instant now, const BackendId &backend, const Session &session) const;
     void forwardToHome(Instant now, Session &session, const VmId &home, bool needsPrimary);
     void endForwarded(Session &session);
     void completeForwarded(Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message);
-    void respondToEntry(Session &session, CallerResponse response);
+    /// Tries another home or server after \p home rejected a statement that did not run, or rejects the statement.
+    void retryForwarded(Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message);
+    /// \p pending is null if the statement was not submitted.
+    void respondToEntry(Instant now, Session &session, const PendingStatement *pending, CallerResponse response);
     void checkForwarded(Instant now, Session &session);
     void requestPosition(Instant now, const ServiceId &id, Service &service);
     void respondToPositionRequests(const ServiceId &id, Service &service, Instant sentAt, const LogPoint &point);
@@ -230,6 +234,24 @@
     [[nodiscard]] bool mustForwardToPrimary(Instant now, const Service &service) const;
     [[nodiscard]] bool hasLocalServer(const ServiceId &service) const;
 
+    // overload.cpp
+    /// Returns whether statements of \p session are admitted by their predicted latency. Entries that serve their
+    /// callers alone only limit the time in the queue.
+    [[nodiscard]] bool predictsLatency(const Session &session) const;
+    /// Rejects a statement that has just arrived if it could not run in time.
+    bool rejectIfTooLate(Instant now, Session &session);
+    /// Rejects a statement that every home is expected to reject.
+    bool rejectIfHopeless(Instant now, Session &session, const BackendId &backend);
+    /// Returns how long the response to a new statement of \p priority is expected to take, including its wait; nothing
+    /// if no server can run it now.
+    [[nodiscard]] std::optional<Duration> predictLatency(
+        Instant now, const Service &service, std::uint32_t priority, bool needsPrimary) const;
+    [[nodiscard]] HomeLoad makeHomeLoad(Instant now, const PendingStatement &pending);
+    void recordHomeLoad(Instant now, const VmId &home, const PendingStatement &pending, const HomeLoad &load);
+    /// Gives up all statements that were forwarded to \p home.
+    void onHomeLost(Instant now, const VmId &home, std::string_view reason);
+    void forgetEndedSessions(Instant now);
+
     // exchanges.cpp
     void sendStatement(Instant now, Session &session, BackendPool &pool, BackendConnection &connection,
         std::optional<LogPoint> minPoint);
@@ -301,7 +323,9 @@
     std::map<BackendId, std::vector<VmId>> homes_;
     std::set<BackendId> formerHomes_; ///< Backend servers whose homes are those of a former leader.
     std::uint64_t homesVersion_ = 0;
-    std::map<VmId, HomeState> homeStates_;
+    HomeLoads homeLoads_;
+    std::uint32_t nextLoadReport_ = 1;
+    std::map<std::pair<VmId, std::uint64_t>, EndedSession> endedSessions_;
     std::map<std::pair<VmId, std::uint64_t>, SessionId> forwardedSessions_;
     SessionId nextForwardedSession_ = FirstForwardedSession;
     std::vector<SessionId> finishedForwardedSessions_;
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -22,6 +22,8 @@
     Duration maxSampleAge = std::chrono::seconds(10);
     /// A server without any response for this time while an exchange is in flight gets no statements.
     Duration unresponsiveTimeout = std::chrono::milliseconds(250);
+    /// A home from which nothing has arrived for this time while it owes a response is asked for a sign of life.
+    Duration homeProbeDelay = std::chrono::milliseconds(60);
     /// Minimum time before a read is also sent to a second server.
     Duration minHedgeDelay = std::chrono::milliseconds(60);
     /// Added cost of a server in another availability zone: one more round trip.
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -63,6 +63,10 @@
     std::uint64_t sequence = 0; ///< Sequence number of the request to that entry.
     BackendId backend; ///< Server that got the last attempt, directly or through another entry.
     std::set<BackendId> triedBackends; ///< Servers that rejected or failed the statement.
+    std::set<VmId> triedHomes; ///< Homes that rejected the statement.
+    bool isOverloaded = false; ///< The statement was rejected because it could not have run in time.
+    std::uint32_t overloads = 0; ///< Number of homes that could not have run the statement in time.
+    std::optional<Duration> shortestWait; ///< Shortest wait that such a home predicted.
     ResponseCode lastRejection = ResponseCode::Busy;
 
     /// Returns the number of attempts that were not rejected.
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -244,7 +244,7 @@
 
 using ClusterPayload = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControlRequest,
     ForwardedControlResponse, ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest,
-    PositionResponse, RateLimitRequest, RateLimitGrant>;
+    PositionResponse, RateLimitRequest, RateLimitGrant, HomeProbe, HomeProbeResponse>;
 
 struct ClusterMessage {
     VmId from;
--- a/include/daisyrelay/wire/forwardingmessages.h
+++ b/include/daisyrelay/wire/forwardingmessages.h
@@ -5,6 +5,7 @@
 #include "daisyrelay/wire/routeconfiguration.h"
 #include "daisyrelay/wire/sessionstatement.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <utility>
@@ -39,28 +40,73 @@
     }
 };
 
+/// The load of a home when it sent a response.
+struct HomeLoad {
+    static constexpr std::size_t Priorities = 4; ///< Less urgent priorities share the last value.
+
+    std::uint64_t runId = 0; ///< Differs between runs of the home.
+    std::uint32_t sequence = 0; ///< Increases with each report of a run.
+    std::uint32_t heldMs = 0; ///< Time between the arrival of the statement and its response.
+    std::array<std::int32_t, Priorities> waitMs {}; ///< Predicted time until the response to a new statement of each
+                                                    ///< priority.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(runId, sequence, heldMs);
+        for (std::int32_t &wait : waitMs) {
+            archive(wait);
+        }
+    }
+};
+
 /// The response to a ForwardedStatement.
 struct ForwardedStatementResponse {
     std::uint64_t sessionId = 0;
     std::uint64_t sequence = 0;
     CallerResponse response;
     std::uint64_t generation = 0; ///< Generation of the primary that ran the statement; zero for a replica.
+    bool isOverloaded = false; ///< The statement did not run because it could not have run in time.
+    HomeLoad load;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sessionId, sequence, response, generation);
+        archive(sessionId, sequence, response, generation, isOverloaded, load);
     }
 };
 
 /// Ends a forwarded session; its statement and transaction in progress are rolled back.
 struct ForwardedSessionEnd {
     std::uint64_t sessionId = 0;
+    std::uint64_t sequence = 0; ///< Statements up to this sequence number must not run any more.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sessionId, sequence);
+    }
+};
+
+/// Requests a sign of life from a home that owes a response.
+struct HomeProbe {
+    std::uint64_t sequence = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sequence);
+    }
+};
+
+/// The response to a HomeProbe.
+struct HomeProbeResponse {
+    std::uint64_t sequence = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sessionId);
+        archive(sequence);
     }
 };
 
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -29,6 +29,9 @@
         sendStatement(now, session, *pool, *connection, std::nullopt);
         return;
     }
+    if (rejectIfTooLate(now, session)) {
+        return;
+    }
     enqueue(session);
     dispatch(now, pending.route->service);
 }
@@ -38,16 +41,15 @@
     const PendingStatement &pending = *session.pending;
     Service &service = serviceOf(pending.route->service);
     service.lastUsedAt = std::max(service.lastUsedAt, pending.arrivedAt);
-    service.queue.insert({ pending.route->priority, pending.arrivedAt, session.id });
-    service.queuedForPrimary += pending.needsPrimary ? 1 : 0;
+    const Workspace *workspace = directory_->find(session.workspace);
+    service.queue.insert({ session.id, pending.route->priority, pending.arrivedAt, session.workspace,
+        workspace == nullptr ? 0 : workspace->priority, pending.needsPrimary });
 }
 
 void ProxyCore::dequeue(const Session &session)
 {
     const PendingStatement &pending = *session.pending;
-    Service &service = serviceOf(pending.route->service);
-    const bool wasQueued = service.queue.erase({ pending.route->priority, pending.arrivedAt, session.id }) > 0;
-    service.queuedForPrimary -= wasQueued && pending.needsPrimary ? 1 : 0;
+    serviceOf(pending.route->service).queue.erase(session.id);
 }
 
 // Places statements that can still meet their latency target first. In a backlog the oldest statements would otherwise
@@ -59,9 +61,14 @@
     bool replicasAreFull = false;
     std::set<std::pair<bool, WorkspaceId>> waitingWorkspaces;
     for (const bool placesLate : { false, true }) {
-        for (auto at = service.queue.begin(); at != service.queue.end() && !(primaryIsFull && replicasAreFull);) {
-            const auto current = at++;
-            Session &session = *findSession(std::get<SessionId>(*current));
+        for (const SessionId queued : service.queue.inOrder()) {
+            if (primaryIsFull && replicasAreFull) {
+                break;
+            }
+            if (!service.queue.contains(queued)) {
+                continue;
+            }
+            Session &session = *findSession(queued);
             const PendingStatement &pending = *session.pending;
             const bool needsPrimary = pending.needsPrimary;
             const bool isLate = now - pending.arrivedAt > pending.route->latencyTarget * timing_.onTimeFraction;
@@ -144,12 +151,13 @@
     }
     if (pool->hasCapacity(now)) {
         // A read without a minimum position needs the primary, too, but is not counted.
-        const std::size_t queued
-            = directory_->requiresKeys() ? countQueued(service, session.workspace, true) : service.queuedForPrimary;
+        const std::size_t queued = directory_->requiresKeys() ? service.queue.countOf(session.workspace, true)
+                                                              : service.queue.countForPrimary();
         openForDemand(now, *pool, std::max<std::size_t>(queued, 1), session.workspace);
     }
     const bool hasCapacity = pool->hasCapacity(now);
-    return waitOrReject(now, session, pool->predictWait(now, countAhead(session, service, true) + 1), hasCapacity);
+    return waitOrReject(
+        now, session, pool->predictWait(now, service.queue.countAhead(session.id, true) + 1), hasCapacity);
 }
 
 // A caller that is rejected immediately can retry within its own timeout.
@@ -159,19 +167,11 @@
     if (session.pending->arrivedAt != now || now + predictedWait <= session.pending->queueDeadline) {
         return hasServerCapacity && directory_->requiresKeys() ? Placement::WaitingForWorkspace : Placement::Waiting;
     }
+    session.pending->isOverloaded = true;
     reject(now, session, ResponseCode::Busy, "queue-too-long", predictedWait);
     return Placement::Rejected;
 }
 
-std::size_t ProxyCore::countAhead(const Session &session, const Service &service, bool onlyForPrimary) const
-{
-    const PendingStatement &pending = *session.pending;
-    const auto own = service.queue.find({ pending.route->priority, pending.arrivedAt, session.id });
-    return static_cast<std::size_t>(std::count_if(service.queue.begin(), own, [&](const auto &key) {
-        return !onlyForPrimary || sessions_.at(std::get<SessionId>(key)).pending->needsPrimary;
-    }));
-}
-
 static bool canRunRead(Instant now, const BackendPool &pool, const ServiceId &service, const LogPoint &minPoint)
 {
     return pool.record().service == service && pool.isUsable(now) && !pool.isUnresponsive(now)
@@ -189,7 +189,7 @@
             statementsPerTick += 1 / std::max(1.0, static_cast<double>(pool.predictWait(now, 1).count()));
         }
     }
-    const auto ahead = static_cast<double>(countAhead(session, service, false) + 1);
+    const auto ahead = static_cast<double>(service.queue.countAhead(session.id, false) + 1);
     return statementsPerTick > 0 ? Duration(static_cast<Duration::rep>(ahead / statementsPerTick)) : Duration::zero();
 }
 
@@ -250,8 +250,8 @@
         ? preferred
         : cheapestPool(now, session, service, minPoint, true);
     if (chosen != preferred && preferred->hasCapacity(now)) {
-        const std::size_t queued = directory_->requiresKeys() ? countQueued(service, session.workspace, false)
-                                                              : service.queue.size() - service.queuedForPrimary;
+        const std::size_t queued = directory_->requiresKeys() ? service.queue.countOf(session.workspace, false)
+                                                              : service.queue.size() - service.queue.countForPrimary();
         openForDemand(now, *preferred, queued, session.workspace);
     }
     if (chosen == nullptr) {
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -68,8 +68,9 @@
     Instant now, Session &session, BackendPool &pool, BackendConnection &connection, std::optional<LogPoint> minPoint)
 {
     PendingStatement &pending = *session.pending;
+    Service &service = serviceOf(pending.route->service);
+    service.queue.recordStart(session.id);
     dequeue(session);
-    const Service &service = serviceOf(pending.route->service);
     const bool isSingle = pending.role == PendingStatement::Role::Single;
     const bool isGuardedRead = isSingle && !pending.isWrite && !minPoint;
     RunExchange exchange { connection.id, {} };
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -8,8 +8,9 @@
 
 /// Time reserved for the network between two entries: a home's own timeout ends this much earlier.
 static constexpr Duration EntryHopTime = std::chrono::milliseconds(30);
-/// How long no statement is forwarded to a home that did not respond or has no connection to the server.
-static constexpr Duration HomeAvoidTime = std::chrono::milliseconds(300);
+/// Number of homes that may reject a statement because of load. Others are as likely to reject it, and each attempt
+/// uses the links of two entries.
+static constexpr std::uint32_t MaxOverloads = 2;
 
 bool ProxyCore::hasLocalServer(const ServiceId &service) const
 {
@@ -26,54 +27,49 @@
         && homes_.contains(service.primary.backend);
 }
 
-const VmId *ProxyCore::chooseHome(Instant now, const BackendId &backend, const WorkspaceId &workspace) const
+const VmId *ProxyCore::chooseHome(Instant now, const BackendId &backend, const Session &session) const
 {
     const auto found = homes_.find(backend);
     if (found == homes_.end()) {
         return nullptr;
     }
-    if (!workspace.empty()) {
-        return chooseWorkspaceHome(now, found->second, workspace);
-    }
-    const VmId *best = nullptr;
-    std::size_t fewestInFlight = 0;
-    for (const VmId &home : found->second) {
-        const auto state = homeStates_.find(home);
-        const std::size_t inFlight = state == homeStates_.end() ? 0 : state->second.inFlight;
-        const bool isAvoided = state != homeStates_.end() && now < state->second.avoidUntil;
-        // Breaks ties differently at each entry, so that the homes of a server share its load.
-        const std::size_t firstIndex = (sessionIdBase_ + nextSequence_) % found->second.size();
-        const bool isFirst = &home == &found->second[firstIndex];
-        if (!isAvoided && (best == nullptr || inFlight < fewestInFlight || (inFlight == fewestInFlight && isFirst))) {
-            best = &home;
-            fewestInFlight = inFlight;
-        }
-    }
-    return best;
+    const PendingStatement &pending = *session.pending;
+    return homeLoads_.choose(now, backend, found->second, session.workspace, pending.route->priority,
+        sessionIdBase_ + nextSequence_, pending.triedHomes);
 }
 
 const BackendId *ProxyCore::chooseRemoteServer(
-    Instant now, const PendingStatement &pending, const Service &service, bool needsPrimary) const
+    Instant now, const Session &session, const Service &service, bool needsPrimary) const
 {
     if (needsPrimary) {
         return &service.primary.backend;
     }
+    const PendingStatement &pending = *session.pending;
     const BackendId *best = nullptr;
-    int bestRank = 0;
+    Duration bestCost {};
     for (const BackendId &id : service.backends) {
         const BackendPool &pool = pools_.at(id);
         if (pending.triedBackends.contains(id)) {
             continue;
         }
-        constexpr int DrainingPenalty = 4;
-        constexpr int PrimaryPenalty = 2; // Keeps slots free for statements that only the primary can run.
-        constexpr int LaggingPenalty = 8;
-        const int rank = (pool.isLagging(now) ? LaggingPenalty : 0) + (pool.record().isDraining ? DrainingPenalty : 0)
-            + (id == service.primary.backend ? PrimaryPenalty : 0) + (pool.record().zone == zone_ ? 0 : 1);
-        const bool isNextInTurn = rank == bestRank && (nextSequence_ & 1U) == 0;
-        if (best == nullptr || rank < bestRank || isNextInTurn) {
+        constexpr Duration DrainingCost = std::chrono::milliseconds(400);
+        constexpr Duration PrimaryCost
+            = std::chrono::milliseconds(20); // Keeps slots free for statements that only the primary can run.
+        constexpr Duration LaggingCost = std::chrono::milliseconds(800);
+        const VmId *home = chooseHome(now, id, session);
+        const std::optional<Duration> wait
+            = home == nullptr ? std::nullopt : homeLoads_.expectedWait(now, *home, id, pending.route->priority);
+        constexpr Duration NoHomeCost = std::chrono::minutes(1);
+        const Duration cost = (home == nullptr ? NoHomeCost : Duration::zero())
+            + (pool.isLagging(now) ? LaggingCost : Duration::zero())
+            + (pool.record().isDraining ? DrainingCost : Duration::zero())
+            + (id == service.primary.backend ? PrimaryCost : Duration::zero())
+            + (pool.record().zone == zone_ ? Duration::zero() : timing_.crossZoneCost)
+            + wait.value_or(Duration::zero());
+        const bool isNextInTurn = cost == bestCost && (nextSequence_ & 1U) == 0;
+        if (best == nullptr || cost < bestCost || isNextInTurn) {
             best = &id;
-            bestRank = rank;
+            bestCost = cost;
         }
     }
     return best;
@@ -82,8 +78,14 @@
 ProxyCore::Placement ProxyCore::placeRemotely(Instant now, Session &session, Service &service, bool needsPrimary)
 {
     PendingStatement &pending = *session.pending;
-    const BackendId *backend = chooseRemoteServer(now, pending, service, needsPrimary);
-    const VmId *home = backend == nullptr ? nullptr : chooseHome(now, *backend, session.workspace);
+    const BackendId *backend = chooseRemoteServer(now, session, service, needsPrimary);
+    const VmId *home = backend == nullptr ? nullptr : chooseHome(now, *backend, session);
+    if (home == nullptr && (!pending.triedHomes.empty() || pending.overloads > 0)) {
+        // Every home that could run the statement has rejected it. Another attempt would only add to their load.
+        reject(now, session, pending.lastRejection, pending.overloads > 0 ? "overloaded" : "homes-used",
+            pending.shortestWait.value_or(timing_.maxBackoff / 4));
+        return Placement::Rejected;
+    }
     if (home == nullptr) {
         if (backend == nullptr) {
             pending.triedBackends.clear();
@@ -93,6 +95,9 @@
         pending.retryAt = now + timing_.busyBackoff;
         return Placement::Waiting;
     }
+    if (rejectIfHopeless(now, session, *backend)) {
+        return Placement::Rejected;
+    }
     pending.backend = *backend;
     const bool isPrimary = *backend == service.primary.backend;
     const VmId homeId = *home;
@@ -135,7 +140,7 @@
     pending.sentAt = now;
     pending.wasSent = true;
     ++pending.attempts;
-    ++homeStates_[home].inFlight;
+    homeLoads_.recordSent(home, pending.backend);
     metrics_.add("guests_sent_total");
     actions_.emplace_back(SendToEntry { home, std::move(request) });
 }
@@ -146,33 +151,37 @@
     VmId home;
     if (session.pending && !session.pending->home.empty()) {
         home = std::exchange(session.pending->home, {});
-        HomeState &state = homeStates_[home];
-        state.inFlight -= std::min<std::size_t>(state.inFlight, 1);
+        homeLoads_.recordFinished(home, session.pending->backend);
     }
     if (session.transaction && !session.transaction->home.empty()) {
         home = std::exchange(session.transaction->home, {});
     }
     if (!home.empty()) {
-        actions_.emplace_back(SendToEntry { home, ForwardedSessionEnd { sessionIdBase_ + session.id } });
+        actions_.emplace_back(
+            SendToEntry { home, ForwardedSessionEnd { sessionIdBase_ + session.id, nextSequence_ - 1 } });
     }
 }
 
+// A statement may wait long at a home that is only busy, so its age alone does not show that the home has failed.
 void ProxyCore::checkForwarded(Instant now, Session &session)
 {
     PendingStatement &pending = *session.pending;
-    const bool isSingleRead = !pending.isWrite && pending.role == PendingStatement::Role::Single;
-    const Duration responseTimeout
-        = std::max<Duration>(pending.route->latencyTarget, timing_.unresponsiveTimeout) * pending.countedAttempts();
-    const bool isLate = now >= pending.deadline;
-    if (!isLate && !(isSingleRead && now - pending.sentAt > responseTimeout)) {
+    if (now >= pending.deadline) {
+        handleLostResponse(now, session, "timed-out");
         return;
     }
-    homeStates_[pending.home].avoidUntil = now + HomeAvoidTime;
-    handleLostResponse(now, session, isLate ? "timed-out" : "home-silent");
+    const VmId home = pending.home;
+    if (homeLoads_.isSilent(now, home, timing_.unresponsiveTimeout)) {
+        onHomeLost(now, home, "home-silent");
+    } else if (homeLoads_.takeProbe(now, home, pending.sentAt, timing_.homeProbeDelay)) {
+        metrics_.add("home_probes_total");
+        actions_.emplace_back(SendToEntry { home, HomeProbe { nextSequence_++ } });
+    }
 }
 
 void ProxyCore::onForwardedStatementResponse(Instant now, const VmId &from, const ForwardedStatementResponse &message)
 {
+    homeLoads_.recordHeard(now, from);
     Session *session = findSession(message.sessionId - sessionIdBase_);
     if (session == nullptr || !session->pending || session->pending->home != from
         || session->pending->sequence != message.sequence) {
@@ -180,8 +189,8 @@
         return;
     }
     PendingStatement &pending = *session->pending;
-    HomeState &state = homeStates_[from];
-    state.inFlight -= std::min<std::size_t>(state.inFlight, 1);
+    homeLoads_.recordFinished(from, pending.backend);
+    recordHomeLoad(now, from, pending, message.load);
     pending.home = {};
     if (message.response.code == ResponseCode::Ok) {
         completeForwarded(now, *session, from, message);
@@ -192,22 +201,7 @@
         || message.response.code == ResponseCode::NotPrimary || message.response.code == ResponseCode::Aborted;
     if (didNotRun && pending.role != PendingStatement::Role::Next && pending.countedAttempts() <= timing_.maxAttempts
         && now < pending.queueDeadline) {
-        ++pending.rejections;
-        const bool isWrongHome = message.response.code == ResponseCode::WrongBackend;
-        pending.lastRejection = isWrongHome ? ResponseCode::Busy : message.response.code;
-        const bool shouldDelay = pending.rejections > 2; // Two other servers have rejected the statement already.
-        pending.retryAt = (pending.needsPrimary && !isWrongHome) || shouldDelay ? now + timing_.busyBackoff : now;
-        if (isWrongHome) {
-            state.avoidUntil = now + HomeAvoidTime;
-        } else if (!pending.needsPrimary) {
-            pending.triedBackends.insert(pending.backend);
-        }
-        if (BackendPool *pool = findPool(pending.backend);
-            pool != nullptr && message.response.code == ResponseCode::Lagging) {
-            pool->recordLag(now);
-        }
-        enqueue(*session);
-        dispatch(now, pending.route->service);
+        retryForwarded(now, *session, from, message);
         return;
     }
     BackendResponse response;
@@ -216,6 +210,43 @@
     failStatement(now, *session, response);
 }
 
+void ProxyCore::retryForwarded(
+    Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message)
+{
+    PendingStatement &pending = *session.pending;
+    const ResponseCode code = message.response.code;
+    const bool isWrongHome = code == ResponseCode::WrongBackend;
+    ++pending.rejections;
+    pending.lastRejection = isWrongHome ? ResponseCode::Busy : code;
+    if (message.isOverloaded) {
+        ++pending.overloads;
+        const std::size_t index = std::min<std::size_t>(pending.route->priority, HomeLoad::Priorities - 1);
+        const Duration wait = std::chrono::milliseconds(std::max(message.load.waitMs.at(index), 1));
+        pending.shortestWait = std::min(pending.shortestWait.value_or(wait), wait);
+        if (pending.overloads >= MaxOverloads) {
+            reject(now, session, pending.lastRejection, "overloaded", *pending.shortestWait);
+            return;
+        }
+    }
+    const bool shouldDelay = pending.rejections > 2; // Two other servers have rejected the statement already.
+    pending.retryAt = (pending.needsPrimary && !isWrongHome && !message.isOverloaded) || shouldDelay
+        ? now + timing_.busyBackoff
+        : now;
+    if (isWrongHome) {
+        homeLoads_.recordWrongHome(now, home, pending.backend);
+    } else if (!pending.needsPrimary) {
+        pending.triedBackends.insert(pending.backend);
+    }
+    if (code == ResponseCode::Busy) {
+        pending.triedHomes.insert(home);
+    }
+    if (BackendPool *pool = findPool(pending.backend); pool != nullptr && code == ResponseCode::Lagging) {
+        pool->recordLag(now);
+    }
+    enqueue(session);
+    dispatch(now, pending.route->service);
+}
+
 void ProxyCore::completeForwarded(
     Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message)
 {
@@ -230,6 +261,11 @@
 void ProxyCore::onForwardedStatement(Instant now, const VmId &from, const ForwardedStatement &request)
 {
     const auto key = std::pair(from, request.sessionId);
+    if (const auto ended = endedSessions_.find(key);
+        ended != endedSessions_.end() && request.sequence <= ended->second.sequence) {
+        metrics_.add("guests_left_total"); // The caller left while the statement was on its way.
+        return;
+    }
     auto forwarded = forwardedSessions_.find(key);
     const bool continuesTransaction = request.inTransaction && !request.beginsTransaction;
     if (forwarded != forwardedSessions_.end() && !continuesTransaction) {
@@ -252,7 +288,7 @@
         CallerResponse response;
         response.code = ResponseCode::Aborted;
         response.detail = "the transaction was rolled back";
-        respondToEntry(session, std::move(response));
+        respondToEntry(now, session, nullptr, std::move(response));
         return;
     }
     session.workspace = request.workspace;
@@ -289,13 +325,17 @@
     submit(now, session);
 }
 
-void ProxyCore::respondToEntry(Session &session, CallerResponse response)
+void ProxyCore::respondToEntry(Instant now, Session &session, const PendingStatement *pending, CallerResponse response)
 {
     ForwardedStatementResponse message;
     message.sessionId = session.origin->sessionId;
     message.sequence = session.origin->sequence;
     message.response = std::move(response);
     message.generation = session.generation;
+    if (pending != nullptr) {
+        message.isOverloaded = pending->isOverloaded;
+        message.load = makeHomeLoad(now, *pending);
+    }
     actions_.emplace_back(SendToEntry { session.origin->entry, std::move(message) });
     if (!session.transaction) {
         finishedForwardedSessions_.push_back(session.id);
@@ -304,62 +344,12 @@
 
 void ProxyCore::onForwardedSessionEnd(Instant now, const VmId &from, const ForwardedSessionEnd &end)
 {
+    EndedSession &ended = endedSessions_[{ from, end.sessionId }];
+    ended = { std::max(ended.sequence, end.sequence), now };
     if (const auto found = forwardedSessions_.find({ from, end.sessionId }); found != forwardedSessions_.end()) {
         onSessionClosed(now, found->second);
         forwardedSessions_.erase(found);
     }
 }
 
-void ProxyCore::requestPosition(Instant now, const ServiceId &id, Service &service)
-{
-    const VmId *home = chooseHome(now, service.primary.backend, {});
-    if (home == nullptr || !hasLocalServer(id)) {
-        return;
-    }
-    constexpr std::size_t MaxPositionRequests = 8;
-    service.lastSampledAt = now;
-    service.positionRequests[nextSequence_] = now;
-    if (service.positionRequests.size() > MaxPositionRequests) {
-        service.positionRequests.erase(service.positionRequests.begin());
-    }
-    actions_.emplace_back(SendToEntry { *home, PositionRequest { id, nextSequence_++ } });
-}
-
-void ProxyCore::onPositionRequest(Instant now, const VmId &from, const PositionRequest &request)
-{
-    constexpr std::size_t MaxRequesters = 256;
-    Service &service = serviceOf(request.service);
-    if (service.positionRequesters.size() < MaxRequesters) {
-        service.positionRequesters.push_back({ from, request.sequence, now });
-    }
-    const BackendPool *pool = findPool(service.primary.backend);
-    constexpr Duration MinSampleInterval
-        = std::chrono::milliseconds(10); // One sample serves all requests that arrive close together.
-    if (pool != nullptr && pool->quota() > 0 && now - service.lastSampledAt >= MinSampleInterval) {
-        samplePosition(now, service);
-    }
-}
-
-void ProxyCore::respondToPositionRequests(const ServiceId &id, Service &service, Instant sentAt, const LogPoint &point)
-{
-    std::erase_if(service.positionRequesters, [&](const Service::PositionRequester &requester) {
-        if (requester.receivedAt > sentAt) {
-            return false;
-        }
-        actions_.emplace_back(SendToEntry {
-            requester.entry, PositionResponse { id, requester.sequence, service.primary.generation, point } });
-        return true;
-    });
-}
-
-void ProxyCore::onPositionResponse(Instant now, const VmId & /*from*/, const PositionResponse &response)
-{
-    Service &service = serviceOf(response.service);
-    if (const auto found = service.positionRequests.find(response.sequence); found != service.positionRequests.end()) {
-        service.freshness.record(found->second, response.generation, response.point);
-        service.positionRequests.erase(found);
-        dispatch(now, response.service);
-    }
-}
-
 } // namespace daisyrelay
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -260,6 +260,13 @@
     } else if (code == ResponseCode::Busy) {
         pool.recordRejection(now);
     }
+    if (session.origin && !pending.needsPrimary && code == ResponseCode::Busy
+        && now + timing_.busyBackoff < pending.queueDeadline) {
+        // Other servers are as busy. The statement keeps its place here rather than use the links of two entries again.
+        pending.retryAt = now + timing_.busyBackoff;
+        enqueue(session);
+        return;
+    }
     if (session.origin && !pending.needsPrimary) {
         // The entry that forwarded the statement can try other servers.
         reject(now, session, pending.lastRejection, "try-elsewhere", Duration::zero());
@@ -345,7 +352,7 @@
     response.state = session.state();
     logOutcome(now, session, pending, response);
     if (session.origin) {
-        respondToEntry(session, std::move(response));
+        respondToEntry(now, session, &pending, std::move(response));
         return;
     }
     actions_.emplace_back(SendResponse { session.id, std::move(response) });
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -23,6 +23,7 @@
         lastIdleCheckAt_ = now;
         checkIdleTransactions(now);
         closeUnneededConnections(now);
+        forgetEndedSessions(now);
         checkIsolation(now);
         advanceDrain(now);
     }
@@ -69,6 +70,7 @@
                 submit(now, *session);
             }
         } else if (now >= pending.queueDeadline) {
+            pending.isOverloaded = true;
             reject(now, *session, pending.lastRejection, "waited", timing_.maxBackoff / 4);
         }
     }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -11,8 +11,8 @@
     }
     return services_
         .emplace(service,
-            Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, 0,
-                {}, {} })
+            Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, {},
+                {} })
         .first->second;
 }
 
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -22,8 +22,13 @@
           context.settings.revocationBound)
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
-    , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
-          [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); })
+    , peers_(
+          context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
+          [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); },
+          [this](const VmId &peer) {
+              core_.onEntryDisconnected(Clock::now(), peer);
+              performActions();
+          })
     , timer_(context.io)
     , controlVms_(context.settings.seeds)
     , reportInterval_(InitialReportInterval)
@@ -242,6 +247,11 @@
     } else if (const auto *positionRequest = std::get_if<PositionRequest>(&payload); positionRequest != nullptr) {
         core_.onPositionRequest(now, from, *positionRequest);
         performActions();
+    } else if (const auto *probe = std::get_if<HomeProbe>(&payload); probe != nullptr) {
+        core_.onHomeProbe(from, *probe);
+        performActions();
+    } else if (std::holds_alternative<HomeProbeResponse>(payload)) {
+        core_.onHomeProbeResponse(now, from);
     } else if (const auto *position = std::get_if<PositionResponse>(&payload); position != nullptr) {
         core_.onPositionResponse(now, from, *position);
         performActions();
--- a/lib/runtime/peertransport.cpp
+++ b/lib/runtime/peertransport.cpp
@@ -17,12 +17,13 @@
 static constexpr std::size_t MaxUnsentBytes = std::size_t { 8 } * 1024 * 1024;
 
 PeerTransport::PeerTransport(asio::io_context &context, VmId self, std::uint16_t port,
-    std::map<VmId, Endpoint> addressOverrides, MessageHandler onMessage)
+    std::map<VmId, Endpoint> addressOverrides, MessageHandler onMessage, DisconnectHandler onDisconnected)
     : context_(context)
     , self_(std::move(self))
     , port_(port)
     , addressOverrides_(std::move(addressOverrides))
     , onMessage_(std::move(onMessage))
+    , onDisconnected_(std::move(onDisconnected))
     , acceptor_(context)
 {
 }
@@ -49,6 +50,7 @@
                 const std::shared_ptr<ByteStream> self = weak.lock();
                 return self ? processBytes(bytes, self, true) : bytes.size();
             };
+            hooks.onClosed = [this, closed = stream.get()](const ErrorCode &) { onAcceptedClosed(closed); };
             stream->setHooks(std::move(hooks));
             stream->start();
         }
@@ -56,6 +58,31 @@
     });
 }
 
+void PeerTransport::onAcceptedClosed(const ByteStream *stream)
+{
+    for (auto at = acceptedConnections_.begin(); at != acceptedConnections_.end();) {
+        const std::shared_ptr<ByteStream> accepted = at->second.lock();
+        if (accepted && accepted.get() != stream) {
+            ++at;
+            continue;
+        }
+        const VmId peer = at->first;
+        at = acceptedConnections_.erase(at);
+        notifyIfDisconnected(peer);
+    }
+}
+
+void PeerTransport::notifyIfDisconnected(const VmId &peer)
+{
+    const auto outgoing = outgoingConnections_.find(peer);
+    if (!onDisconnected_ || acceptedConnections_.contains(peer)
+        || (outgoing != outgoingConnections_.end() && outgoing->second.stream)) {
+        return;
+    }
+    // A connection may break while a message is being sent, when the receiver is not prepared for the call.
+    asio::post(context_, [this, peer]() { onDisconnected_(peer); });
+}
+
 std::size_t PeerTransport::processBytes(
     std::string_view bytes, const std::shared_ptr<ByteStream> &stream, bool isAccepted)
 {
@@ -127,6 +154,7 @@
             OutgoingConnection &closed = outgoingConnections_[to];
             if (closed.stream.get() == closedStream) {
                 closed.stream.reset();
+                notifyIfDisconnected(to);
             }
         };
         outgoing.stream->setHooks(std::move(hooks));
--- a/lib/runtime/peertransport.h
+++ b/lib/runtime/peertransport.h
@@ -15,10 +15,12 @@
 {
 public:
     using MessageHandler = std::function<void(const VmId &from, ClusterPayload payload)>;
+    using DisconnectHandler = std::function<void(const VmId &peer)>;
 
-    /// Connects to peers at their own address and \p port, except for those in \p addressOverrides.
+    /// Connects to peers at their own address and \p port, except for those in \p addressOverrides. \p onDisconnected
+    /// is called when the last connection to a peer has broken or could not be opened.
     PeerTransport(boost::asio::io_context &context, VmId self, std::uint16_t port,
-        std::map<VmId, Endpoint> addressOverrides, MessageHandler onMessage);
+        std::map<VmId, Endpoint> addressOverrides, MessageHandler onMessage, DisconnectHandler onDisconnected = {});
 
     /// \returns an error if the address cannot be bound.
     Expected<void> listen();
@@ -37,6 +39,8 @@
     };
 
     void accept();
+    void onAcceptedClosed(const ByteStream *stream);
+    void notifyIfDisconnected(const VmId &peer);
     /// \returns the number of bytes consumed.
     std::size_t processBytes(std::string_view bytes, const std::shared_ptr<ByteStream> &stream, bool isAccepted);
 
@@ -45,6 +49,7 @@
     std::uint16_t port_;
     std::map<VmId, Endpoint> addressOverrides_;
     MessageHandler onMessage_;
+    DisconnectHandler onDisconnected_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<VmId, OutgoingConnection> outgoingConnections_;
     std::map<VmId, std::weak_ptr<ByteStream>> acceptedConnections_;
--- a/unittests/scale/controlsimulation.cpp
+++ b/unittests/scale/controlsimulation.cpp
@@ -296,6 +296,10 @@
             core.onForwardedSessionEnd(now_, from, *end);
         } else if (const auto *request = std::get_if<PositionRequest>(&payload); request != nullptr) {
             core.onPositionRequest(now_, from, *request);
+        } else if (const auto *probe = std::get_if<HomeProbe>(&payload); probe != nullptr) {
+            core.onHomeProbe(from, *probe);
+        } else if (std::holds_alternative<HomeProbeResponse>(payload)) {
+            core.onHomeProbeResponse(now_, from);
         } else if (const auto *position = std::get_if<PositionResponse>(&payload); position != nullptr) {
             core.onPositionResponse(now_, from, *position);
         }
