Refuse the least urgent class first and limit what homes keep at a server

Cause: a home predicted the wait from its own connections although other homes use the same slots, it let statements in that then yielded to others until they expired, and urgent statements queued at the server behind less urgent ones.

Change: ClassAdmission refuses classes in steps that follow the measured waits. The prediction uses the measured interval between two statements. Two statements a slot are in flight at a server from all of its homes together.

--- a/include/daisyrelay/admission/admissionqueue.h
+++ b/include/daisyrelay/admission/admissionqueue.h
@@ -37,7 +37,11 @@
     bool erase(Id id);
 
     /// Records that the statement was sent, before it is removed: the virtual time of its priority moves on to it.
-    void recordStart(Id id);
+    void recordStart(Instant now, Id id);
+
+    /// Returns the mean interval between two statements that were sent while others waited; nothing if the queue was
+    /// empty in between.
+    [[nodiscard]] std::optional<Duration> startInterval() const;
 
     [[nodiscard]] bool contains(Id id) const;
     [[nodiscard]] bool empty() const;
@@ -81,6 +85,9 @@
         Key key;
     };
 
+    std::optional<Instant> lastStartAt_; ///< Set while statements have been waiting since then.
+    double startInterval_ = 0; ///< In ticks of Duration.
+    std::size_t intervalCount_ = 0; ///< Number of intervals since the queue was empty.
     std::set<Key> order_;
     std::unordered_map<Id, Queued> queued_;
     std::map<std::uint32_t, Level> levels_;
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -59,6 +59,9 @@
     void setQuota(std::uint32_t quota);
     [[nodiscard]] std::uint32_t quota() const;
 
+    /// Sets the maximum number of exchanges in flight, apart from that of the adaptive window; zero disables it.
+    void setInFlightLimit(std::size_t limit);
+
     /// Returns whether quota and backoff permit another connection.
     [[nodiscard]] bool canOpen(Instant now) const;
 
@@ -170,6 +173,7 @@
     BackendRecord record_;
     const ProxyTiming &timing_;
     std::uint32_t quota_ = 0;
+    std::size_t inFlightLimit_ = 0;
     std::map<ConnectionId, BackendConnection> connections_;
     ServiceTime serviceTime_;
     std::uint32_t openFailures_ = 0; ///< Consecutive connections that could not be opened.
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -106,6 +106,7 @@
         bool isFailingOver = false;
         FreshnessHistory freshness;
         AdmissionQueue queue;
+        ClassAdmission admission;
         Instant lastUsedAt {}; ///< When a statement was last submitted.
         Instant lastSampledAt {}; ///< When a position was last requested.
         std::map<std::uint64_t, Instant> positionRequests; ///< When each request to a home was sent, by sequence.
@@ -250,6 +251,10 @@
     void recordHomeLoad(Instant now, const VmId &home, const PendingStatement &pending, const HomeLoad &load);
     /// Gives up all statements that were forwarded to \p home.
     void onHomeLost(Instant now, const VmId &home, std::string_view reason);
+    /// Records how much of its time in the queue a statement has used.
+    void recordQueueTime(Instant now, const Session &session);
+    /// Limits what this home has in flight at servers that it shares with other homes.
+    void updateInFlightLimits();
     void forgetEndedSessions(Instant now);
 
     // exchanges.cpp
--- a/lib/admission/admissionqueue.cpp
+++ b/lib/admission/admissionqueue.cpp
@@ -9,6 +9,10 @@
 static constexpr std::uint64_t VirtualTimePerStatement = 1000;
 /// Less urgent workspaces share this weight, so that none is starved.
 static constexpr std::uint32_t LeastWeightedPriority = 7;
+/// Weight of one interval between two statements in their mean: the last few dozen count.
+static constexpr double IntervalWeight = 0.05;
+/// Fewer intervals do not give a usable mean, since a server answers in bursts.
+static constexpr std::size_t MinIntervals = 8;
 /// Index of the identifier in a key.
 static constexpr std::size_t IdIndex = 3;
 
@@ -61,14 +65,32 @@
     return true;
 }
 
-void AdmissionQueue::recordStart(Id id)
+void AdmissionQueue::recordStart(Instant now, Id id)
 {
+    if (queued_.size() < 2) {
+        lastStartAt_.reset();
+        intervalCount_ = 0;
+    } else {
+        if (lastStartAt_) {
+            const auto interval = static_cast<double>((now - *lastStartAt_).count());
+            ++intervalCount_;
+            const double weight = std::max(IntervalWeight, 1 / static_cast<double>(intervalCount_));
+            startInterval_ += weight * (interval - startInterval_);
+        }
+        lastStartAt_ = now;
+    }
     if (const auto found = queued_.find(id); found != queued_.end()) {
         Level &level = levels_[found->second.entry.priority];
         level.virtualTime = std::max(level.virtualTime, std::get<1>(found->second.key));
     }
 }
 
+std::optional<Duration> AdmissionQueue::startInterval() const
+{
+    return intervalCount_ < MinIntervals ? std::nullopt
+                                         : std::optional(Duration(static_cast<Duration::rep>(startInterval_)));
+}
+
 bool AdmissionQueue::contains(Id id) const
 {
     return queued_.contains(id);
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -41,6 +41,11 @@
     return quota_;
 }
 
+void BackendPool::setInFlightLimit(std::size_t limit)
+{
+    inFlightLimit_ = limit;
+}
+
 bool BackendPool::canOpen(Instant now) const
 {
     return connections_.size() < quota_ && isOpeningAllowed(now);
@@ -187,12 +192,14 @@
 
 bool BackendPool::hasCapacity(Instant now) const
 {
-    return window_.canSend(now, busyCount());
+    const std::size_t busy = busyCount();
+    return (inFlightLimit_ == 0 || busy < inFlightLimit_) && window_.canSend(now, busy);
 }
 
 Duration BackendPool::predictWait(Instant now, std::size_t ahead) const
 {
-    return window_.predictedWait(now, ahead, quota_, meanTime());
+    const std::size_t connections = inFlightLimit_ == 0 ? quota_ : std::min<std::size_t>(quota_, inFlightLimit_);
+    return window_.predictedWait(now, ahead, connections, meanTime());
 }
 
 void BackendPool::recordAppliedPoint(const LogPoint &point)
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -69,7 +69,8 @@
 {
     PendingStatement &pending = *session.pending;
     Service &service = serviceOf(pending.route->service);
-    service.queue.recordStart(session.id);
+    service.queue.recordStart(now, session.id);
+    recordQueueTime(now, session);
     dequeue(session);
     const bool isSingle = pending.role == PendingStatement::Role::Single;
     const bool isGuardedRead = isSingle && !pending.isWrite && !minPoint;
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -223,7 +223,9 @@
         const std::size_t index = std::min<std::size_t>(pending.route->priority, HomeLoad::Priorities - 1);
         const Duration wait = std::chrono::milliseconds(std::max(message.load.waitMs.at(index), 1));
         pending.shortestWait = std::min(pending.shortestWait.value_or(wait), wait);
-        if (pending.overloads >= MaxOverloads) {
+        // Other homes of the primary share its slots, so only the most urgent statements try a second one.
+        const bool isHopeless = pending.needsPrimary && pending.route->priority > 0;
+        if (pending.overloads >= MaxOverloads || isHopeless) {
             reject(now, session, pending.lastRejection, "overloaded", *pending.shortestWait);
             return;
         }
--- a/lib/proxy/overload.cpp
+++ b/lib/proxy/overload.cpp
@@ -36,11 +36,17 @@
         return std::nullopt;
     }
     // With a single server, reads and writes wait for the same slots.
-    const std::size_t ahead = service.queue.countUpTo(priority, needsPrimary, poolCount < 2);
+    const bool sharesSlots = poolCount < 2;
+    const std::size_t ahead = service.queue.countUpTo(priority, needsPrimary, sharesSlots);
     if (ahead == 0 && hasCapacity) {
         return serviceTime;
     }
-    return serviceTime + Duration(static_cast<Duration::rep>(static_cast<double>(ahead + 1) / statementsPerTick));
+    double ticksPerStatement = 1 / statementsPerTick;
+    if (const std::optional<Duration> measured = service.queue.startInterval(); measured && sharesSlots) {
+        // Other homes use the server, too.
+        ticksPerStatement = std::max(ticksPerStatement, static_cast<double>(measured->count()));
+    }
+    return serviceTime + Duration(static_cast<Duration::rep>(static_cast<double>(ahead + 1) * ticksPerStatement));
 }
 
 bool ProxyCore::rejectIfTooLate(Instant now, Session &session)
@@ -51,22 +57,31 @@
     }
     const std::optional<Duration> latency
         = predictLatency(now, serviceOf(pending.route->service), pending.route->priority, pending.needsPrimary);
-    if (!latency || now + *latency <= pending.queueDeadline) {
+    Service &service = serviceOf(pending.route->service);
+    if (!latency || (!session.origin && mustForwardToPrimary(now, service))) {
         return false;
     }
-    if (!session.origin && mustForwardToPrimary(now, serviceOf(pending.route->service))) {
+    // Statements that are late yield to others, so that most of them never run.
+    const bool isTooLate = *latency > (pending.queueDeadline - now) * timing_.onTimeFraction;
+    if (isTooLate) {
+        service.admission.recordWait(now, pending.route->priority, 1);
+    }
+    const bool isAdmitted = service.admission.admit(now, pending.route->priority) || service.queue.empty();
+    if (!isTooLate && isAdmitted) {
         return false;
     }
     pending.isOverloaded = true;
-    reject(now, session, ResponseCode::Busy, "queue-too-long", *latency);
+    reject(now, session, ResponseCode::Busy, isTooLate ? "queue-too-long" : "class-refused",
+        std::max(*latency, service.admission.readmittedAfter(pending.route->priority)));
     return true;
 }
 
 bool ProxyCore::rejectIfHopeless(Instant now, Session &session, const BackendId &backend)
 {
     PendingStatement &pending = *session.pending;
-    const std::optional<Duration> wait = homeLoads_.waitIfHopeless(
-        now, backend, homes_.at(backend), pending.route->priority, pending.queueDeadline - now);
+    const std::optional<Duration> wait
+        = homeLoads_.waitIfHopeless(now, backend, homes_.at(backend), pending.route->priority,
+            std::chrono::duration_cast<Duration>((pending.queueDeadline - now) * timing_.onTimeFraction));
     if (!wait) {
         return false;
     }
@@ -85,8 +100,11 @@
     const Service &service = serviceOf(pending.route->service);
     for (std::uint32_t priority = 0; priority < HomeLoad::Priorities; ++priority) {
         const std::optional<Duration> latency = predictLatency(now, service, priority, pending.needsPrimary);
-        load.waitMs.at(priority) = static_cast<std::int32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(latency.value_or(Duration::zero())).count());
+        const bool isRefused = service.admission.admittedFraction(priority) == 0;
+        const Duration wait = latency.value_or(Duration::zero())
+            + (isRefused ? service.admission.readmittedAfter(priority) : Duration::zero());
+        load.waitMs.at(priority)
+            = static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
     }
     return load;
 }
@@ -145,6 +163,33 @@
     metrics_.add("guests_dropped_total", dropped.size());
 }
 
+void ProxyCore::recordQueueTime(Instant now, const Session &session)
+{
+    const PendingStatement &pending = *session.pending;
+    if (pending.role == PendingStatement::Role::Next || !predictsLatency(session)) {
+        return;
+    }
+    const Duration permitted
+        = std::max<Duration>(pending.queueDeadline - pending.arrivedAt, std::chrono::milliseconds(1));
+    serviceOf(pending.route->service)
+        .admission.recordWait(now, pending.route->priority,
+            static_cast<double>((now - pending.arrivedAt).count()) / static_cast<double>(permitted.count()));
+}
+
+// The queue at a server is in order of arrival. Statements wait here instead, where urgent ones pass the others.
+void ProxyCore::updateInFlightLimits()
+{
+    constexpr std::size_t InFlightPerSlot = 2; // One runs, and one has arrived when that ends.
+    constexpr std::size_t MinInFlight = 3; // Not all homes have statements at the same time.
+    for (auto &[id, pool] : pools_) {
+        const auto homes = homes_.find(id);
+        const std::size_t homeCount = homes == homes_.end() ? 0 : homes->second.size();
+        const std::size_t total = InFlightPerSlot * pool.record().slots;
+        pool.setInFlightLimit(
+            homeCount == 0 || total == 0 ? 0 : std::max((total + homeCount - 1) / homeCount, MinInFlight));
+    }
+}
+
 void ProxyCore::forgetEndedSessions(Instant now)
 {
     static constexpr Duration Retention
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -71,6 +71,7 @@
             }
         } else if (now >= pending.queueDeadline) {
             pending.isOverloaded = true;
+            recordQueueTime(now, *session);
             reject(now, *session, pending.lastRejection, "waited", timing_.maxBackoff / 4);
         }
     }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -12,7 +12,7 @@
     return services_
         .emplace(service,
             Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, {},
-                {} })
+                {}, {} })
         .first->second;
 }
 
@@ -150,6 +150,7 @@
             homes_.erase(backend);
         }
     }
+    updateInFlightLimits();
 }
 
 void ProxyCore::removePool(Instant now, const BackendId &id)
@@ -202,6 +203,7 @@
     for (const BackendId &id : removed) {
         removePool(now, id);
     }
+    updateInFlightLimits();
     for (const PrimaryRecord &primary : topology.primaries) {
         Service &service = serviceOf(primary.service);
         if (service.primary != primary) {
--- a/unittests/admission/admissionqueuetest.cpp
+++ b/unittests/admission/admissionqueuetest.cpp
@@ -9,6 +9,7 @@
 {
     AdmissionQueue queue;
     std::uint64_t nextId = 1;
+    Instant now { 2h };
 
     std::uint64_t add(std::uint32_t priority, const std::string &workspace = "", std::uint32_t workspacePriority = 0,
         bool needsPrimary = false)
@@ -26,7 +27,7 @@
         for (; count > 0; --count) {
             const std::uint64_t id = queue.inOrder().front();
             found += id >= firstId ? 1 : 0;
-            queue.recordStart(id);
+            queue.recordStart(now += 5ms, id);
             queue.erase(id);
         }
         return found;
@@ -53,6 +54,7 @@
         add(0, "hot");
     }
     startAndCountFrom(0, 20);
+    CHECK(queue.startInterval() == Duration(5ms));
     const std::uint64_t firstOther = add(0, "other");
     for (int at = 1; at < 10; ++at) {
         add(0, "other");
--- a/unittests/proxy/burstcluster.cpp
+++ b/unittests/proxy/burstcluster.cpp
@@ -109,7 +109,8 @@
     return freeAt;
 }
 
-BurstCluster::Tallies BurstCluster::load(double statementsPerSecond, Duration duration, bool awaitsAll)
+std::shared_ptr<const BurstCluster::Tallies> BurstCluster::load(
+    double statementsPerSecond, Duration duration, bool awaitsAll)
 {
     auto tallies = std::make_shared<Tallies>();
     std::exponential_distribution<double> interval(statementsPerSecond);
@@ -128,7 +129,7 @@
     if (awaitsAll) {
         run(4s);
     }
-    return *tallies;
+    return tallies;
 }
 
 void BurstCluster::sendOperation(Operation operation)
@@ -150,8 +151,9 @@
     vm.core->onStatement(now, session, statement);
     perform(entry);
     if (static_cast<double>(random_() % 1000) < leavingFraction * 1000) {
-        at(now + 40ms, [this, entry, session]() {
+        at(now + 40ms, [this, entry, session, id = statement.id]() {
             if (operations_.erase({ entry, session }) > 0) {
+                leftAt_[id] = now;
                 vms[entry].core->onSessionClosed(now, session);
                 perform(entry);
             }
@@ -302,6 +304,9 @@
             }
         });
     };
+    if (const auto left = payload == nullptr ? leftAt_.end() : leftAt_.find(payload->id); left != leftAt_.end()) {
+        startedAfterLeaving += now - left->second >= 30ms ? 1 : 0;
+    }
     if (payload == nullptr) {
         finish();
     } else if (server.queue.size() >= ServerQueueLimit) {
--- a/unittests/proxy/burstcluster.h
+++ b/unittests/proxy/burstcluster.h
@@ -54,12 +54,13 @@
     std::map<std::string, int> runCounts; ///< How often each write ran.
     /// Changes or drops a message between two VMs; returns whether it is delivered and after which extra delay.
     std::function<std::optional<Duration>(const VmId &from, SendToEntry &message)> intercept;
+    int startedAfterLeaving = 0; ///< Statements that reached a server 30 ms or more after their caller had left.
     double leavingFraction = 0; ///< Fraction of the callers that close their session 40 ms after a statement.
 
     BurstCluster(std::size_t entries, std::uint32_t seed);
 
-    /// Sends \p statementsPerSecond for \p duration. Returns the tallies after all responses have arrived.
-    Tallies load(double statementsPerSecond, Duration duration, bool awaitsAll = false);
+    /// Sends \p statementsPerSecond for \p duration. The tallies continue to change until all responses have arrived.
+    std::shared_ptr<const Tallies> load(double statementsPerSecond, Duration duration, bool awaitsAll = false);
     void run(Duration duration);
     void kill(const VmId &id);
     [[nodiscard]] std::uint64_t metric(const std::string &name) const;
@@ -93,6 +94,7 @@
     std::map<std::pair<std::size_t, ConnectionId>, std::string> connections_;
     std::map<std::pair<std::size_t, SessionId>, Operation> operations_;
     std::mt19937 random_;
+    std::map<std::string, Instant> leftAt_; ///< When the caller of a statement left.
     std::uint64_t nextId_ = 1;
     std::size_t entries_;
 };
