--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -26,6 +26,7 @@
         lastIdleCheckAt_ = now;
         checkIdleTransactions(now);
         closeUnneededConnections(now);
+        forgetEndedSessions(now);
         checkIsolation(now);
         advanceDrain(now);
     }
@@ -72,6 +73,8 @@
                 submit(now, *session);
             }
         } else if (now >= pending.queueDeadline) {
+            pending.isOverloaded = true;
+            recordQueueTime(now, *session);
             reject(now, *session, pending.lastRejection, "waited", timing_.maxBackoff / 4);
         }
     }
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -11,7 +11,7 @@
     }
     return services_
         .emplace(service,
-            Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, 0,
+            Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, {},
                 {}, {} })
         .first->second;
 }
@@ -185,6 +185,7 @@
             homes_.erase(backend);
         }
     }
+    updateInFlightLimits();
 }
 
 void ProxyCore::removePool(Instant now, const BackendId &id)
@@ -237,6 +238,7 @@
     for (const BackendId &id : removed) {
         removePool(now, id);
     }
+    updateInFlightLimits();
     for (const PrimaryRecord &primary : topology.primaries) {
         Service &service = serviceOf(primary.service);
         if (service.primary != primary) {
