--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -73,8 +73,6 @@
     [[nodiscard]] Duration reportInterval() const;
 
 private:
-    /// Returns the number of connections to a backend server that all entries may use together.
-    [[nodiscard]] static std::uint32_t usableConnections(const ServiceLimits &limits);
     /// Returns the number of connections to \p backend that all entries but \p except may use or have a share of.
     [[nodiscard]] std::uint32_t claimedByOthers(
         const VmId &except, const BackendId &backend, std::uint32_t usable, bool isStartup);
@@ -98,12 +96,7 @@
     /// Returns whether entries still have the homes of a former leader and this one has assigned none.
     [[nodiscard]] bool isAwaitingHomes(Instant now) const;
     [[nodiscard]] bool isAvailable(Instant now, const VmId &entry) const;
-    /// Returns the number of homes of \p backend.
-    [[nodiscard]] static std::size_t homeCountOf(
-        const ServiceLimits &limits, const BackendRecord &backend, const std::map<ZoneId, std::size_t> &entriesOfZone);
-    /// Returns the first \p maxCount of the current homes that are available.
-    [[nodiscard]] std::vector<VmId> availableHomes(Instant now, const BackendId &backend, std::size_t maxCount) const;
-    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend, std::size_t count,
+    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend,
         const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
         const std::map<VmId, std::size_t> &homeCounts) const;
     void replaceHomes(Instant now, std::map<BackendId, std::vector<VmId>> homes);
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -111,18 +111,7 @@
 /// Number of entries that relay statements to a primary which other entries cannot reach.
 constexpr std::size_t RelaysPerPrimary = 3;
 
-/// Least number of home entries of a backend server with scarce connections. Two, so that one may fail.
-constexpr std::size_t MinHomesPerBackend = 2;
-
-/// Maximum number of home entries of a backend server. More would split the connections and the queue of the server too
-/// finely.
-constexpr std::size_t MaxHomesPerBackend = 8;
-
-/// Connections to a backend server for each of its homes. The link of a home carries each statement four times, so that
-/// two homes are not enough for servers with many connections.
-constexpr std::size_t ConnectionsPerHome = 13;
-
-/// Entries in the zone of a backend server for each of its homes beyond the least number.
-constexpr std::size_t MinEntriesPerHome = 4;
+/// Number of home entries of a backend server with scarce connections. Two, so that one may fail.
+constexpr std::size_t HomesPerBackend = 2;
 
 } // namespace daisyrelay
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -183,11 +183,6 @@
     return candidates;
 }
 
-std::uint32_t EntryRegistry::usableConnections(const ServiceLimits &limits)
-{
-    return limits.maxConnections > ReservedConnections ? limits.maxConnections - ReservedConnections : 1;
-}
-
 std::vector<ConnectionQuota> EntryRegistry::grantQuotas(Instant now, const VmId &entry, const SupervisionState &state)
 {
     std::vector<ConnectionQuota> changes;
@@ -216,7 +211,8 @@
         if (limits == nullptr) {
             continue;
         }
-        const std::uint32_t usable = usableConnections(*limits);
+        const std::uint32_t usable
+            = limits->maxConnections > ReservedConnections ? limits->maxConnections - ReservedConnections : 1;
         const auto requested = requestedQuotas.find(id);
         const std::uint32_t requestedCount = requested == requestedQuotas.end() ? 0 : requested->second;
         const std::uint32_t target = isStartup ? 1 : targetQuotaOf(entry, id, usable, requestedCount);
--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -27,27 +27,16 @@
             [](const auto &entry) { return entry.second.report.homesVersion != 0; });
 }
 
-// Entries that are silent for a short time count, so that their silence changes the homes of no other server.
-std::size_t EntryRegistry::homeCountOf(
-    const ServiceLimits &limits, const BackendRecord &backend, const std::map<ZoneId, std::size_t> &entriesOfZone)
-{
-    const std::size_t usable = usableConnections(limits);
-    const std::size_t wanted = std::min((usable + ConnectionsPerHome / 2) / ConnectionsPerHome, MaxHomesPerBackend);
-    const auto local = entriesOfZone.find(backend.zone);
-    const std::size_t localEntries = local == entriesOfZone.end() ? 0 : local->second;
-    return std::max(std::min(wanted, localEntries / MinEntriesPerHome), MinHomesPerBackend);
-}
-
-// Keeps the current homes. Then prefers entries that hold connections, so that a new leader moves as few homes as
-// possible, then entries in the zone of the server with the fewest homes.
-std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const BackendRecord &backend, std::size_t count,
+// Prefers entries that hold connections, so that a new leader or a lost entry moves as few homes as possible, then
+// entries in the zone of the server with the fewest homes.
+std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const BackendRecord &backend,
     const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
     const std::map<VmId, std::size_t> &homeCounts) const
 {
-    std::vector<VmId> chosen = availableHomes(now, backend.id, count);
+    std::vector<VmId> chosen;
     const std::uint64_t backendHash = stableHash(backend.id.value);
     const auto addFrom = [&](const std::vector<VmId> &candidates) {
-        while (chosen.size() < count) {
+        while (chosen.size() < HomesPerBackend) {
             const VmId *best = nullptr;
             std::pair<std::size_t, std::uint64_t> bestKey;
             for (const VmId &vm : candidates) {
@@ -87,17 +76,6 @@
     return chosen;
 }
 
-std::vector<VmId> EntryRegistry::availableHomes(Instant now, const BackendId &backend, std::size_t maxCount) const
-{
-    std::vector<VmId> homes;
-    if (const auto current = homes_.find(backend); current != homes_.end()) {
-        std::copy_if(current->second.begin(), current->second.end(), std::back_inserter(homes),
-            [this, now](const VmId &vm) { return isAvailable(now, vm); });
-    }
-    homes.resize(std::min(homes.size(), maxCount));
-    return homes;
-}
-
 // If every entry can hold a few connections, statements need no forwarding. If connections are too scarce for that, a
 // few entries in the zone of the server hold all of them, so that none is idle while another entry waits for one.
 bool EntryRegistry::assignHomes(Instant now, const SupervisionState &state)
@@ -107,9 +85,7 @@
     }
     std::map<BackendId, std::vector<VmId>> holders;
     std::map<ZoneId, std::vector<VmId>> byZone;
-    std::map<ZoneId, std::size_t> entriesOfZone;
     for (const auto &[vm, session] : sessions_) {
-        ++entriesOfZone[session.report.zone];
         if (isAvailable(now, vm)) {
             byZone[session.report.zone].push_back(vm);
         }
@@ -121,7 +97,7 @@
     }
     std::map<BackendId, std::vector<VmId>> chosen;
     std::map<VmId, std::size_t> homeCounts;
-    std::vector<std::pair<const BackendRecord *, std::size_t>> unassigned; // With the number of homes.
+    std::vector<const BackendRecord *> unassigned;
     // With workspaces, a few connections at each entry would rarely fit the workspace of a statement.
     const std::size_t directConnections
         = std::clamp(state.configuration().workspaces.size(), MinDirectConnections, MinDirectConnectionsWithWorkspaces);
@@ -130,22 +106,23 @@
         if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
             continue;
         }
-        const std::size_t count = homeCountOf(*limits, backend, entriesOfZone);
-        const std::vector<VmId> current = availableHomes(now, id, count);
-        for (const VmId &vm : current) {
-            ++homeCounts[vm];
+        const auto current = homes_.find(id);
+        const bool isComplete = current != homes_.end() && current->second.size() == HomesPerBackend
+            && std::all_of(current->second.begin(), current->second.end(),
+                [this, now](const VmId &vm) { return isAvailable(now, vm); });
+        if (!isComplete) {
+            unassigned.push_back(&backend);
+            continue;
         }
-        if (current.size() < count) {
-            unassigned.emplace_back(&backend, count);
-        } else {
-            chosen[id] = current;
+        chosen[id] = current->second;
+        for (const VmId &vm : current->second) {
+            ++homeCounts[vm];
         }
     }
-    for (const auto &[backend, count] : unassigned) {
-        const std::vector<VmId> current = availableHomes(now, backend->id, count);
-        const std::vector<VmId> homes = chooseHomes(now, *backend, count, holders, byZone, homeCounts);
-        for (std::size_t index = current.size(); index < homes.size(); ++index) {
-            ++homeCounts[homes[index]];
+    for (const BackendRecord *backend : unassigned) {
+        const std::vector<VmId> homes = chooseHomes(now, *backend, holders, byZone, homeCounts);
+        for (const VmId &vm : homes) {
+            ++homeCounts[vm];
         }
         if (!homes.empty()) {
             chosen[backend->id] = homes;
