Bound the connections and requests of control

Retries made overload worse: idle keep-alive connections could use up all descriptors, after which accepting failed in a busy loop; heartbeats waited at control for longer than their senders; peers connected to a lost peer every 50 ms; and a full send buffer dropped configurations like everything else.

The control API accepts connections for half of the descriptors; a further one replaces the one that has been idle for the longest time. A failed accept is repeated after 20 ms. RequestGate refuses heartbeats at once (503) that would wait more than 700 ms, judged by the requests answered within the last second and by how late the event loop is. ReconnectSchedule doubles the delay between connections to a peer from 50 to 400 ms, with jitter. Messages of consensus and configurations get room in a full send buffer that no others may use.

--- a/include/daisyrelay/io/httpserver.h
+++ b/include/daisyrelay/io/httpserver.h
@@ -13,7 +13,9 @@
 /// Limits and hooks of a server.
 struct HttpServerOptions {
     std::size_t maxBodyBytes = 1024 * 1024; ///< Larger request bodies get status 413.
-    std::size_t maxConnections = 100000; ///< Further connections are closed immediately.
+    /// A further connection replaces the one that has been idle for the longest time; it is closed immediately if none
+    /// is idle.
+    std::size_t maxConnections = 100000;
     Duration acceptDelay {}; ///< Delay before the first read from a new connection; simulates a slow login.
     std::function<void(std::uint64_t connectionId)> onClosed; ///< Called after a connection was closed.
 };
--- a/include/daisyrelay/limits.h
+++ b/include/daisyrelay/limits.h
@@ -7,5 +7,7 @@
 #include "daisyrelay/limits/classqueues.h"
 #include "daisyrelay/limits/connectionpool.h"
 #include "daisyrelay/limits/poolwork.h"
+#include "daisyrelay/limits/reconnectschedule.h"
+#include "daisyrelay/limits/requestgate.h"
 #include "daisyrelay/limits/retrybudget.h"
 #include "daisyrelay/limits/servicetime.h"
--- a/lib/io/httpserver.cpp
+++ b/lib/io/httpserver.cpp
@@ -17,6 +17,9 @@
 using tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+/// Delay after a connection could not be accepted.
+static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
+
 namespace {
 
 class HttpSession;
@@ -25,17 +28,31 @@
 
 struct HttpServer::State {
     State(asio::io_context &io, HttpServerOptions serverOptions, HttpHandler requestHandler)
-        : context(io), options(std::move(serverOptions)), handler(std::move(requestHandler)), acceptor(io)
+        : context(io)
+        , options(std::move(serverOptions))
+        , handler(std::move(requestHandler))
+        , acceptor(io)
+        , acceptTimer(io)
+    {
+    }
+
+    /// \returns a number that orders the idle connections by the start of their idle time.
+    std::uint64_t addIdle(std::uint64_t connectionId)
     {
+        idleConnections.emplace(++lastIdleOrder, connectionId);
+        return lastIdleOrder;
     }
 
     asio::io_context &context;
     HttpServerOptions options;
     HttpHandler handler;
     tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     bool isClosing = false;
     std::uint64_t nextConnectionId = 1;
     std::map<std::uint64_t, std::weak_ptr<HttpSession>> sessions;
+    std::uint64_t lastIdleOrder = 0;
+    std::map<std::uint64_t, std::uint64_t> idleConnections; ///< Ids of connections without a request, oldest first.
 };
 
 namespace {
@@ -51,6 +68,8 @@
             server->handler(std::move(request), std::move(respond));
         })
         , isServerClosing_([server]() { return server->isClosing; })
+        , onIdle_([server, id]() { return server->addIdle(id); })
+        , onBusy_([server](std::uint64_t idleOrder) { server->idleConnections.erase(idleOrder); })
         , onClosed_([server, id]() {
             server->sessions.erase(id);
             if (server->options.onClosed) {
@@ -63,6 +82,7 @@
 
     void start(Duration delay)
     {
+        idleOrder_ = onIdle_();
         if (delay == Duration::zero()) {
             read();
             return;
@@ -71,12 +91,15 @@
         timer->async_wait([self = shared_from_this(), timer](const ErrorCode &) { self->read(); });
     }
 
-    void closeIfIdle(Instant idleBefore)
+    /// \returns whether the connection was idle.
+    bool closeIfIdle(Instant idleBefore)
     {
         const bool isReading = buffer_.size() > 0 || (parser_ && parser_->got_some());
-        if (!isHandlingRequest_ && !isReading && idleSince_ <= idleBefore) {
-            close();
+        if (isHandlingRequest_ || isReading || idleSince_ > idleBefore) {
+            return false;
         }
+        close();
+        return true;
     }
 
     void close()
@@ -86,6 +109,14 @@
         socket_.close(ignored);
     }
 
+    void notifyClosed()
+    {
+        if (onClosed_) {
+            onBusy_(idleOrder_);
+            std::exchange(onClosed_, nullptr)();
+        }
+    }
+
 private:
     void read()
     {
@@ -108,6 +139,7 @@
             return;
         }
         isHandlingRequest_ = true;
+        onBusy_(idleOrder_);
         http::request<http::string_body> message = parser_->release();
         shouldKeepAlive_ = message.keep_alive();
         HttpRequest request;
@@ -156,23 +188,20 @@
             notifyClosed();
             return;
         }
+        idleOrder_ = onIdle_();
         read();
     }
 
-    void notifyClosed()
-    {
-        if (onClosed_) {
-            std::exchange(onClosed_, nullptr)();
-        }
-    }
-
     static constexpr unsigned HttpVersion = 11;
 
     tcp::socket socket_;
     std::uint64_t id_;
     HttpHandler handler_;
     std::function<bool()> isServerClosing_;
+    std::function<std::uint64_t()> onIdle_;
+    std::function<void(std::uint64_t idleOrder)> onBusy_;
     std::function<void()> onClosed_;
+    std::uint64_t idleOrder_ = 0;
     std::size_t maxBodyBytes_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
@@ -182,10 +211,26 @@
     Instant idleSince_ = Clock::now();
 };
 
+/// Closes the connection that has been idle for the longest time. \returns whether there was one.
+template <typename ServerState>
+bool closeOldestIdle(const std::shared_ptr<ServerState> &server)
+{
+    // A connection that has received a part of a request is not idle.
+    for (const auto &[idleOrder, id] : server->idleConnections) {
+        const auto found = server->sessions.find(id);
+        const std::shared_ptr<HttpSession> session = found == server->sessions.end() ? nullptr : found->second.lock();
+        if (session && session->closeIfIdle(Clock::now())) {
+            session->notifyClosed();
+            return true;
+        }
+    }
+    return false;
+}
+
 template <typename ServerState>
 void startSession(const std::shared_ptr<ServerState> &server, tcp::socket socket)
 {
-    if (server->sessions.size() >= server->options.maxConnections) {
+    if (server->sessions.size() >= server->options.maxConnections && !closeOldestIdle(server)) {
         return;
     }
     ErrorCode ignored;
@@ -205,8 +250,16 @@
         }
         if (!error) {
             startSession(server, std::move(socket));
+            acceptNext(server);
+            return;
         }
-        acceptNext(server);
+        // Without free descriptors, accepting fails again at once for as long as connections wait.
+        server->acceptTimer.expires_after(AcceptRetryDelay);
+        server->acceptTimer.async_wait([server](const ErrorCode &timerError) {
+            if (!timerError && server->acceptor.is_open()) {
+                acceptNext(server);
+            }
+        });
     });
 }
 
@@ -219,6 +272,7 @@
 
 HttpServer::~HttpServer()
 {
+    state_->acceptTimer.cancel();
     stopListening();
 }
 
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <sys/resource.h>
+
 namespace daisyrelay {
 
 using ErrorCode = boost::system::error_code;
@@ -13,6 +15,22 @@
 /// How long a draining control VM keeps running, so that another one can become the leader and the entries can find it.
 static constexpr Duration DrainDuration = std::chrono::milliseconds(1500);
 static constexpr std::size_t MaxPendingRequests = 4096;
+/// A heartbeat that would wait longer for the leader is refused, so that its sender can try another control VM within
+/// the second that it waits.
+static constexpr Duration MaxHeartbeatWait = std::chrono::milliseconds(700);
+
+/// Returns how many connections the control API accepts: half of the descriptors of the process, so that the other half
+/// is left for entries, control VMs, probes and files.
+static std::size_t maxApiConnections()
+{
+    rlimit limit {};
+    constexpr std::size_t Fallback = 1024;
+    constexpr std::size_t Unlimited = 100000;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return Fallback / 2;
+    }
+    return std::min<std::size_t>(limit.rlim_cur, Unlimited) / 2;
+}
 
 ControlNode::ControlNode(NodeContext &context)
     : context_(context)
@@ -27,6 +45,7 @@
               runPendingActions(now);
           })
     , timer_(context.io)
+    , heartbeatGate_(MaxHeartbeatWait)
 {
 }
 
@@ -59,8 +78,10 @@
     if (Expected<void> listening = peers_.listen(); !listening) {
         return listening;
     }
+    HttpServerOptions options;
+    options.maxConnections = maxApiConnections();
     apiServer_ = std::make_unique<HttpServer>(
-        context_.io, HttpServerOptions {}, [this](const HttpRequest &request, const HttpResponseCallback &respond) {
+        context_.io, std::move(options), [this](const HttpRequest &request, const HttpResponseCallback &respond) {
             handleHttpRequest(request, respond);
         });
     if (Expected<void> listening = apiServer_->listen(context_.settings.controlApi); !listening) {
@@ -117,6 +138,10 @@
         = heartbeat == nullptr ? std::nullopt : std::optional(heartbeat->record.id);
     const std::uint64_t id = nextRequestId_++;
     if (isLeader(now)) {
+        if (heartbeat != nullptr && !heartbeatGate_.admit(now)) {
+            refuseHeartbeat(onResult);
+            return;
+        }
         pendingRequests_[id] = { heartbeatOf, std::move(onResult), now + 2 * ForwardTimeout };
         supervisor_.onLeadership(now, true, raft_->core().term(), controlVms());
         supervisor_.onRequest(now, id, request);
@@ -132,10 +157,20 @@
         onResult({});
         return;
     }
+    if (heartbeat != nullptr && !heartbeatGate_.admit(now)) {
+        refuseHeartbeat(onResult);
+        return;
+    }
     pendingRequests_[id] = { heartbeatOf, std::move(onResult), now + ForwardTimeout };
     peers_.send(*leader, ForwardedControlRequest { id, std::move(request) });
 }
 
+void ControlNode::refuseHeartbeat(const std::function<void(ControlResult result)> &onResult)
+{
+    context_.metrics.add("heartbeats_refused_total");
+    onResult({});
+}
+
 void ControlNode::finishRequest(std::uint64_t id, ControlResult result)
 {
     const auto found = pendingRequests_.find(id);
@@ -143,8 +178,12 @@
         return;
     }
     const std::function<void(ControlResult)> onResult = std::move(found->second.onResult);
-    if (found->second.heartbeatOf && result.heartbeatVm.empty()) {
-        result.heartbeatVm = heartbeatVmOf(Clock::now(), *found->second.heartbeatOf);
+    if (found->second.heartbeatOf) {
+        const Instant now = Clock::now();
+        heartbeatGate_.finish(now);
+        if (result.heartbeatVm.empty()) {
+            result.heartbeatVm = heartbeatVmOf(now, *found->second.heartbeatOf);
+        }
     }
     pendingRequests_.erase(found);
     onResult(std::move(result));
@@ -236,6 +275,7 @@
 
 void ControlNode::scheduleTick()
 {
+    nextTickAt_ = Clock::now() + TickInterval;
     timer_.expires_after(TickInterval);
     timer_.async_wait([this](const ErrorCode &error) {
         if (!error) {
@@ -247,6 +287,7 @@
 void ControlNode::tick()
 {
     const Instant now = Clock::now();
+    heartbeatGate_.setLoopDelay(nextTickAt_ ? now - *nextTickAt_ : Duration::zero());
     raft_->core().tick(now);
     runPendingActions(now);
     supervisor_.tick(now);
--- a/lib/runtime/controlnode.h
+++ b/lib/runtime/controlnode.h
@@ -1,6 +1,8 @@
 // The control role of a process: takes part in consensus and supervises the backend servers while it is the leader.
 #pragma once
 
+#include "daisyrelay/limits.h"
+
 #include "nodecontext.h"
 #include "peertransport.h"
 #include "probeclient.h"
@@ -22,7 +24,8 @@
 private:
     /// A control request that waits for a commit, or for the result of the leader that it was forwarded to.
     struct PendingRequest {
-        std::optional<BackendId> heartbeatOf; ///< The sender, if the request is a heartbeat.
+        /// The sender, if the request is a heartbeat. Only heartbeats are admitted by `heartbeatGate_`.
+        std::optional<BackendId> heartbeatOf;
         std::function<void(ControlResult result)> onResult;
         Instant deadline {};
     };
@@ -41,6 +44,7 @@
     void performAction(Instant now, SupervisionAction action);
     /// Calls the platform to promote a replica and reports the outcome to the supervisor.
     void requestPromotion(const PromoteThroughPlatform &promotion);
+    void refuseHeartbeat(const std::function<void(ControlResult result)> &onResult);
     void finishRequest(std::uint64_t id, ControlResult result);
     void sendHeartbeatDigest(Instant now);
     /// Returns the control VM to which \p backend should send its heartbeats.
@@ -59,6 +63,8 @@
     std::unique_ptr<HttpServer> apiServer_;
     boost::asio::steady_timer timer_;
     std::map<std::uint64_t, PendingRequest> pendingRequests_;
+    RequestGate heartbeatGate_;
+    std::optional<Instant> nextTickAt_;
     std::uint64_t nextRequestId_ = 1;
     std::uint64_t loggedMembershipIndex_ = 0;
     std::optional<VmId> loggedLeader_;
--- a/lib/runtime/peertransport.cpp
+++ b/lib/runtime/peertransport.cpp
@@ -12,9 +12,20 @@
 
 static constexpr std::size_t LengthBytes = 4;
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
-static constexpr Duration ReconnectDelay = std::chrono::milliseconds(50);
+/// Delay after a connection could not be accepted, for example because no descriptor is free.
+static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
 /// Messages are dropped beyond this limit, which is reached only if the peer does not read.
 static constexpr std::size_t MaxUnsentBytes = std::size_t { 8 } * 1024 * 1024;
+/// The same for messages of consensus and configurations, so that no other message takes their room.
+static constexpr std::size_t MaxUnsentBytesWithPrecedence = MaxUnsentBytes + 2 * MaxPeerMessageBytes;
+
+static std::size_t maxUnsentBytesBefore(const ClusterPayload &payload)
+{
+    const auto *update = std::get_if<EntryUpdate>(&payload);
+    const bool hasPrecedence
+        = std::holds_alternative<RaftMessage>(payload) || (update != nullptr && !update->configuration.empty());
+    return hasPrecedence ? MaxUnsentBytesWithPrecedence : MaxUnsentBytes;
+}
 
 PeerTransport::PeerTransport(asio::io_context &context, VmId self, std::uint16_t port,
     std::map<VmId, Endpoint> addressOverrides, MessageHandler onMessage)
@@ -24,6 +35,7 @@
     , addressOverrides_(std::move(addressOverrides))
     , onMessage_(std::move(onMessage))
     , acceptor_(context)
+    , acceptTimer_(context)
 {
 }
 
@@ -42,16 +54,29 @@
         if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
             return;
         }
-        if (!error) {
-            auto stream = std::make_shared<ByteStream>(std::move(socket));
-            ByteStream::Hooks hooks;
-            hooks.onBytes = [this, weak = std::weak_ptr(stream)](std::string_view bytes) {
-                const std::shared_ptr<ByteStream> self = weak.lock();
-                return self ? processBytes(bytes, self, true) : bytes.size();
-            };
-            stream->setHooks(std::move(hooks));
-            stream->start();
+        if (error) {
+            acceptTimer_.expires_after(AcceptRetryDelay);
+            acceptTimer_.async_wait([this](const ErrorCode &timerError) {
+                if (!timerError && acceptor_.is_open()) {
+                    accept();
+                }
+            });
+            return;
         }
+        auto stream = std::make_shared<ByteStream>(std::move(socket));
+        ByteStream::Hooks hooks;
+        hooks.onBytes = [this, weak = std::weak_ptr(stream)](std::string_view bytes) {
+            const std::shared_ptr<ByteStream> self = weak.lock();
+            return self ? processBytes(bytes, self, true) : bytes.size();
+        };
+        hooks.onClosed = [this](const ErrorCode &) {
+            std::erase_if(acceptedConnections_, [](const auto &accepted) {
+                const std::shared_ptr<ByteStream> open = accepted.second.lock();
+                return !open || !open->isOpen();
+            });
+        };
+        stream->setHooks(std::move(hooks));
+        stream->start();
         accept();
     });
 }
@@ -92,6 +117,7 @@
 
 void PeerTransport::send(const VmId &to, ClusterPayload payload)
 {
+    const std::size_t maxUnsentBytes = maxUnsentBytesBefore(payload);
     const std::string body = encodeClusterMessage({ self_, std::move(payload) });
     std::string frame;
     frame.reserve(LengthBytes + body.size());
@@ -103,7 +129,7 @@
     frame += body;
     if (const auto found = acceptedConnections_.find(to); found != acceptedConnections_.end()) {
         if (const std::shared_ptr<ByteStream> stream = found->second.lock(); stream && stream->isOpen()) {
-            if (stream->unsentBytes() < MaxUnsentBytes) {
+            if (stream->unsentBytes() < maxUnsentBytes) {
                 stream->write(frame);
             }
             return;
@@ -112,40 +138,46 @@
     }
     OutgoingConnection &outgoing = outgoingConnections_[to];
     if (!outgoing.stream) {
-        const Instant now = Clock::now();
-        if (now - outgoing.lastAttemptAt < ReconnectDelay) {
+        if (!outgoing.schedule.isDue(Clock::now())) {
             return;
         }
-        outgoing.lastAttemptAt = now;
-        outgoing.stream = std::make_shared<ByteStream>(tcp::socket(context_));
-        ByteStream::Hooks hooks;
-        hooks.onBytes = [this, weak = std::weak_ptr(outgoing.stream)](std::string_view bytes) {
-            const std::shared_ptr<ByteStream> self = weak.lock();
-            return self ? processBytes(bytes, self, false) : bytes.size();
-        };
-        hooks.onClosed = [this, to, closedStream = outgoing.stream.get()](const ErrorCode &) {
-            OutgoingConnection &closed = outgoingConnections_[to];
-            if (closed.stream.get() == closedStream) {
-                closed.stream.reset();
-            }
-        };
-        outgoing.stream->setHooks(std::move(hooks));
-        const auto addressOverride = addressOverrides_.find(to);
-        outgoing.stream->connect(
-            addressOverride == addressOverrides_.end() ? Endpoint { to.value, port_ } : addressOverride->second,
-            ConnectTimeout);
+        openConnection(to, outgoing);
     }
-    if (outgoing.stream->unsentBytes() < MaxUnsentBytes) {
+    if (outgoing.stream->unsentBytes() < maxUnsentBytes) {
         outgoing.stream->write(frame);
     }
 }
 
+void PeerTransport::openConnection(const VmId &to, OutgoingConnection &outgoing)
+{
+    outgoing.stream = std::make_shared<ByteStream>(tcp::socket(context_));
+    ByteStream::Hooks hooks;
+    hooks.onBytes = [this, weak = std::weak_ptr(outgoing.stream)](std::string_view bytes) {
+        const std::shared_ptr<ByteStream> self = weak.lock();
+        return self ? processBytes(bytes, self, false) : bytes.size();
+    };
+    hooks.onConnected = [this, to]() { outgoingConnections_[to].schedule.onConnected(Clock::now()); };
+    hooks.onClosed = [this, to, closedStream = outgoing.stream.get()](const ErrorCode &) {
+        OutgoingConnection &closed = outgoingConnections_[to];
+        if (closed.stream.get() == closedStream) {
+            closed.stream.reset();
+            closed.schedule.onClosed(Clock::now(), drawRandomNumber);
+        }
+    };
+    outgoing.stream->setHooks(std::move(hooks));
+    const auto addressOverride = addressOverrides_.find(to);
+    outgoing.stream->connect(
+        addressOverride == addressOverrides_.end() ? Endpoint { to.value, port_ } : addressOverride->second,
+        ConnectTimeout);
+}
+
 void PeerTransport::reset(const VmId &to)
 {
     const auto found = outgoingConnections_.find(to);
     if (found != outgoingConnections_.end() && found->second.stream) {
         found->second.stream->close();
         found->second.stream.reset();
+        found->second.schedule.onClosed(Clock::now(), drawRandomNumber);
     }
 }
 
@@ -153,6 +185,7 @@
 {
     ErrorCode ignored;
     acceptor_.close(ignored);
+    acceptTimer_.cancel();
     for (auto &[vm, outgoing] : outgoingConnections_) {
         if (outgoing.stream) {
             outgoing.stream->close();
--- a/lib/runtime/peertransport.h
+++ b/lib/runtime/peertransport.h
@@ -1,6 +1,7 @@
 // Messages between VMs over TCP. A frame consists of a 4-byte big-endian length and an encoded message.
 #pragma once
 
+#include "daisyrelay/limits.h"
 #include "daisyrelay/wire.h"
 
 #include "bytestream.h"
@@ -10,7 +11,8 @@
 namespace daisyrelay {
 
 /// Messages to a VM that has connected here use that connection; otherwise a connection to the VM is opened. Messages
-/// that cannot be sent are dropped, because the protocols above retry.
+/// that cannot be sent are dropped, because the protocols above retry. Messages of consensus and configurations are
+/// dropped last.
 class PeerTransport
 {
 public:
@@ -33,10 +35,11 @@
 private:
     struct OutgoingConnection {
         std::shared_ptr<ByteStream> stream;
-        Instant lastAttemptAt {};
+        ReconnectSchedule schedule;
     };
 
     void accept();
+    void openConnection(const VmId &to, OutgoingConnection &outgoing);
     /// \returns the number of bytes consumed.
     std::size_t processBytes(std::string_view bytes, const std::shared_ptr<ByteStream> &stream, bool isAccepted);
 
@@ -46,6 +49,7 @@
     std::map<VmId, Endpoint> addressOverrides_;
     MessageHandler onMessage_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer acceptTimer_;
     std::map<VmId, OutgoingConnection> outgoingConnections_;
     std::map<VmId, std::weak_ptr<ByteStream>> acceptedConnections_;
 };
