--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -106,10 +106,25 @@
     }
 }
 
+static void logProposal(const ControlCommand &command)
+{
+    const auto *change = std::get_if<GroupMembersCommand>(&command);
+    if (change == nullptr) {
+        return;
+    }
+    std::string members;
+    for (const BackendId &member : change->members) {
+        members += " " + member.value;
+    }
+    spdlog::info("group {} of {}: {}{}", change->group.group.value, change->group.service.value,
+        change->completesTransition ? "completing the change of members" : "changing the members to", members);
+}
+
 void ControlRuntime::performAction(const ControlAction &action)
 {
     HttpRequest request;
     if (const auto *proposal = std::get_if<ProposeCommand>(&action); proposal != nullptr) {
+        logProposal(proposal->command);
         raft_->core().propose(Clock::now(), encodeControlCommand(proposal->command));
     } else if (const auto *message = std::get_if<SendControlMessage>(&action); message != nullptr) {
         send_(message->to, message->payload);
