Refuse within milliseconds in bursts and notice lost messages

Cause: a home admitted statements whose predicted wait left no room for more urgent ones that arrived later, so that they expired in the queue; refused statements tried a second home without a limit; a statement or response that was lost with a connection was not noticed while its home was alive.

Change: the prediction includes the share of more urgent statements, and a home admits up to 0.4 of the permitted wait. A second home costs a budget of a tenth of the statements served. Retry times are at most 400 ms. A probe names the statement, and the home tells whether it still has it.

--- a/include/daisyrelay/admission/admissionqueue.h
+++ b/include/daisyrelay/admission/admissionqueue.h
@@ -43,6 +43,9 @@
     /// empty in between.
     [[nodiscard]] std::optional<Duration> startInterval() const;
 
+    /// Returns the fraction of the recently sent statements that were more urgent than \p priority.
+    [[nodiscard]] double moreUrgentShare(std::uint32_t priority) const;
+
     [[nodiscard]] bool contains(Id id) const;
     [[nodiscard]] bool empty() const;
     [[nodiscard]] std::size_t size() const;
@@ -87,6 +90,7 @@
 
     std::optional<Instant> lastStartAt_; ///< Set while statements have been waiting since then.
     double startInterval_ = 0; ///< In ticks of Duration.
+    std::map<std::uint32_t, double> shares_; ///< Fraction of the recent statements of each priority.
     std::size_t intervalCount_ = 0; ///< Number of intervals since the queue was empty.
     std::set<Key> order_;
     std::unordered_map<Id, Queued> queued_;
--- a/include/daisyrelay/admission/homeloads.h
+++ b/include/daisyrelay/admission/homeloads.h
@@ -27,6 +27,8 @@
 class HomeLoads
 {
 public:
+    HomeLoads();
+
     /// Records a statement sent to \p home for \p backend.
     void recordSent(const VmId &home, const BackendId &backend);
 
@@ -72,6 +74,14 @@
     [[nodiscard]] std::optional<Duration> waitIfHopeless(Instant now, const BackendId &backend,
         std::span<const VmId> homes, std::uint32_t priority, Duration available) const;
 
+    /// Records that a home ran a statement.
+    void recordServed();
+
+    /// Returns whether a statement that a home rejected for load may be sent to another home, and records that it is.
+    /// Such attempts are limited to a fraction of the statements that homes ran: in an overload of all homes they would
+    /// double the load of the links.
+    bool takeRetry();
+
     [[nodiscard]] std::size_t inFlight(const VmId &home, const BackendId &backend) const;
 
 private:
@@ -95,6 +105,7 @@
     [[nodiscard]] const Queue *find(const VmId &home, const BackendId &backend) const;
 
     std::map<VmId, Home> homes_;
+    double retryBudget_;
 };
 
 } // namespace daisyrelay
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -58,7 +58,7 @@
     void onForwardedSessionEnd(Instant now, const VmId &from, const ForwardedSessionEnd &end);
     void onPositionRequest(Instant now, const VmId &from, const PositionRequest &request);
     void onHomeProbe(const VmId &from, const HomeProbe &probe);
-    void onHomeProbeResponse(Instant now, const VmId &from);
+    void onHomeProbeResponse(Instant now, const VmId &from, const HomeProbeResponse &response);
 
     /// Called when no connection to another entry is left. Statements forwarded there are given up; queued statements
     /// from there are dropped.
@@ -139,6 +139,11 @@
         Duration retryAfter {}; ///< Zero if a retry cannot help.
     };
 
+    struct PredictedLatency {
+        Duration wait {};
+        Duration serviceTime {};
+    };
+
     enum class Placement : std::uint8_t {
         Started,
         Waiting, ///< Stays queued until a connection is free or the time of the next attempt has come.
@@ -243,9 +248,9 @@
     bool rejectIfTooLate(Instant now, Session &session);
     /// Rejects a statement that every home is expected to reject.
     bool rejectIfHopeless(Instant now, Session &session, const BackendId &backend);
-    /// Returns how long the response to a new statement of \p priority is expected to take, including its wait; nothing
-    /// if no server can run it now.
-    [[nodiscard]] std::optional<Duration> predictLatency(
+    /// Returns how long a new statement of \p priority is expected to wait and to run; nothing if no server can run it
+    /// now.
+    [[nodiscard]] std::optional<PredictedLatency> predictLatency(
         Instant now, const Service &service, std::uint32_t priority, bool needsPrimary) const;
     [[nodiscard]] HomeLoad makeHomeLoad(Instant now, const PendingStatement &pending);
     void recordHomeLoad(Instant now, const VmId &home, const PendingStatement &pending, const HomeLoad &load);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -24,6 +24,12 @@
     Duration unresponsiveTimeout = std::chrono::milliseconds(250);
     /// A home from which nothing has arrived for this time while it owes a response is asked for a sign of life.
     Duration homeProbeDelay = std::chrono::milliseconds(60);
+    /// A statement without a response for this time is asked for even if its home responds to others: the message may
+    /// have been lost with a connection.
+    Duration lostStatementDelay = std::chrono::milliseconds(250);
+    /// Latest time of a retry after a refusal because of load. Callers retry twice, so that both retries are over
+    /// within a second of the end of an overload.
+    Duration maxOverloadRetryAfter = std::chrono::milliseconds(400);
     /// Minimum time before a read is also sent to a second server.
     Duration minHedgeDelay = std::chrono::milliseconds(60);
     /// Added cost of a server in another availability zone: one more round trip.
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -55,6 +55,7 @@
     Instant queueDeadline {}; ///< The statement is rejected if it is still queued at this time.
     Instant retryAt {}; ///< No attempt is made before this time.
     Instant sentAt {}; ///< When the last attempt was sent.
+    Instant probedAt {}; ///< When the home was last asked about the statement.
     std::uint32_t attempts = 0; ///< Number of times the statement was sent.
     std::uint32_t rejections = 0; ///< Number of attempts that were rejected without running.
     bool wasSent = false; ///< Whether the statement was sent at least once.
--- a/include/daisyrelay/wire/forwardingmessages.h
+++ b/include/daisyrelay/wire/forwardingmessages.h
@@ -88,25 +88,29 @@
     }
 };
 
-/// Requests a sign of life from a home that owes a response.
+/// Requests a sign of life from a home that owes the response to a statement.
 struct HomeProbe {
-    std::uint64_t sequence = 0;
+    std::uint64_t sessionId = 0;
+    std::uint64_t sequence = 0; ///< Of the statement.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence);
+        archive(sessionId, sequence);
     }
 };
 
 /// The response to a HomeProbe.
 struct HomeProbeResponse {
+    std::uint64_t sessionId = 0;
     std::uint64_t sequence = 0;
+    bool isPending
+        = false; ///< Whether the home still has the statement. If not, the statement or its response was lost.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence);
+        archive(sessionId, sequence, isPending);
     }
 };
 
--- a/lib/admission/admissionqueue.cpp
+++ b/lib/admission/admissionqueue.cpp
@@ -80,6 +80,11 @@
         lastStartAt_ = now;
     }
     if (const auto found = queued_.find(id); found != queued_.end()) {
+        // Also without a backlog, so that the shares are known when an overload begins.
+        for (auto &[priority, share] : shares_) {
+            share *= 1 - IntervalWeight;
+        }
+        shares_[found->second.entry.priority] += IntervalWeight;
         Level &level = levels_[found->second.entry.priority];
         level.virtualTime = std::max(level.virtualTime, std::get<1>(found->second.key));
     }
@@ -91,6 +96,15 @@
                                          : std::optional(Duration(static_cast<Duration::rep>(startInterval_)));
 }
 
+double AdmissionQueue::moreUrgentShare(std::uint32_t priority) const
+{
+    double share = 0;
+    for (auto at = shares_.begin(); at != shares_.end() && at->first < priority; ++at) {
+        share += at->second;
+    }
+    return std::min(share, 1.0);
+}
+
 bool AdmissionQueue::contains(Id id) const
 {
     return queued_.contains(id);
--- a/lib/admission/classadmission.cpp
+++ b/lib/admission/classadmission.cpp
@@ -11,7 +11,7 @@
 static constexpr Duration StepInterval = std::chrono::milliseconds(50);
 /// Mean wait, as a fraction of the permitted one, above which another step is refused. Statements that arrive later and
 /// are more urgent still have to pass.
-static constexpr double LongWait = 0.6;
+static constexpr double LongWait = 0.5;
 /// Below LongWait by more than a step changes, so that the level does not oscillate.
 static constexpr double ShortWait = 0.3;
 /// A class without statements for this time does not count as a class.
--- a/lib/admission/homeloads.cpp
+++ b/lib/admission/homeloads.cpp
@@ -22,12 +22,35 @@
 /// slot.
 static constexpr Duration ConnectionCost = std::chrono::milliseconds(12);
 
+/// Share of the statements that may try a second home.
+static constexpr double RetriesPerServed = 0.1;
+/// Enough for a home that becomes slow at the usual load.
+static constexpr double MaxRetryBudget = 10;
+
 std::string_view loadReportFaultName(LoadReportFault fault)
 {
     static constexpr std::array<std::string_view, 5> Names { "none", "duplicate", "other-run", "invalid", "late" };
     return Names.at(static_cast<std::size_t>(fault));
 }
 
+HomeLoads::HomeLoads() : retryBudget_(MaxRetryBudget)
+{
+}
+
+void HomeLoads::recordServed()
+{
+    retryBudget_ = std::min(retryBudget_ + RetriesPerServed, MaxRetryBudget);
+}
+
+bool HomeLoads::takeRetry()
+{
+    if (retryBudget_ < 1) {
+        return false;
+    }
+    retryBudget_ -= 1;
+    return true;
+}
+
 void HomeLoads::recordSent(const VmId &home, const BackendId &backend)
 {
     ++homes_[home].queues[backend].inFlight;
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -173,9 +173,11 @@
     const VmId home = pending.home;
     if (homeLoads_.isSilent(now, home, timing_.unresponsiveTimeout)) {
         onHomeLost(now, home, "home-silent");
-    } else if (homeLoads_.takeProbe(now, home, pending.sentAt, timing_.homeProbeDelay)) {
+    } else if (now - std::max(pending.sentAt, pending.probedAt) > timing_.lostStatementDelay
+        || homeLoads_.takeProbe(now, home, pending.sentAt, timing_.homeProbeDelay)) {
+        pending.probedAt = now;
         metrics_.add("home_probes_total");
-        actions_.emplace_back(SendToEntry { home, HomeProbe { nextSequence_++ } });
+        actions_.emplace_back(SendToEntry { home, HomeProbe { sessionIdBase_ + session.id, pending.sequence } });
     }
 }
 
@@ -222,10 +224,10 @@
         ++pending.overloads;
         const std::size_t index = std::min<std::size_t>(pending.route->priority, HomeLoad::Priorities - 1);
         const Duration wait = std::chrono::milliseconds(std::max(message.load.waitMs.at(index), 1));
-        pending.shortestWait = std::min(pending.shortestWait.value_or(wait), wait);
+        pending.shortestWait = std::min({ pending.shortestWait.value_or(wait), wait, timing_.maxOverloadRetryAfter });
         // Other homes of the primary share its slots, so only the most urgent statements try a second one.
         const bool isHopeless = pending.needsPrimary && pending.route->priority > 0;
-        if (pending.overloads >= MaxOverloads || isHopeless) {
+        if (pending.overloads >= MaxOverloads || isHopeless || !homeLoads_.takeRetry()) {
             reject(now, session, pending.lastRejection, "overloaded", *pending.shortestWait);
             return;
         }
@@ -252,6 +254,7 @@
 void ProxyCore::completeForwarded(
     Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message)
 {
+    homeLoads_.recordServed();
     updateSessionAfterSuccess(session, message.response.position, message.generation);
     if (session.transaction) {
         session.transaction->home = home;
--- a/lib/proxy/overload.cpp
+++ b/lib/proxy/overload.cpp
@@ -5,13 +5,20 @@
 
 namespace daisyrelay {
 
+/// Part of the permitted wait that a statement may be predicted to wait when it arrives at a home. Waits vary, and a
+/// statement that is late yields to others, so that it would mostly wait in vain; a part is enough to keep the servers
+/// busy.
+static constexpr double MaxWaitFraction = 0.4;
+/// The same for the time until the response, as entries judge it by the reports of homes.
+static constexpr double MaxLatencyFraction = 0.5;
+
 bool ProxyCore::predictsLatency(const Session &session) const
 {
     return session.origin.has_value() || !homes_.empty();
 }
 
 // Statements that wait for a failover are not rejected here: their wait does not depend on the load.
-std::optional<Duration> ProxyCore::predictLatency(
+std::optional<ProxyCore::PredictedLatency> ProxyCore::predictLatency(
     Instant now, const Service &service, std::uint32_t priority, bool needsPrimary) const
 {
     double statementsPerTick = 0;
@@ -39,14 +46,18 @@
     const bool sharesSlots = poolCount < 2;
     const std::size_t ahead = service.queue.countUpTo(priority, needsPrimary, sharesSlots);
     if (ahead == 0 && hasCapacity) {
-        return serviceTime;
+        return PredictedLatency { Duration::zero(), serviceTime };
     }
     double ticksPerStatement = 1 / statementsPerTick;
     if (const std::optional<Duration> measured = service.queue.startInterval(); measured && sharesSlots) {
         // Other homes use the server, too.
         ticksPerStatement = std::max(ticksPerStatement, static_cast<double>(measured->count()));
     }
-    return serviceTime + Duration(static_cast<Duration::rep>(static_cast<double>(ahead + 1) * ticksPerStatement));
+    // More urgent statements that arrive later pass the new one.
+    constexpr double MinShare = 0.1;
+    ticksPerStatement /= std::max(1 - service.queue.moreUrgentShare(priority), MinShare);
+    return PredictedLatency { Duration(static_cast<Duration::rep>(static_cast<double>(ahead + 1) * ticksPerStatement)),
+        serviceTime };
 }
 
 bool ProxyCore::rejectIfTooLate(Instant now, Session &session)
@@ -55,24 +66,28 @@
     if (!predictsLatency(session) || !hasLocalServer(pending.route->service)) {
         return false;
     }
-    const std::optional<Duration> latency
+    const std::optional<PredictedLatency> latency
         = predictLatency(now, serviceOf(pending.route->service), pending.route->priority, pending.needsPrimary);
     Service &service = serviceOf(pending.route->service);
     if (!latency || (!session.origin && mustForwardToPrimary(now, service))) {
         return false;
     }
-    // Statements that are late yield to others, so that most of them never run.
-    const bool isTooLate = *latency > (pending.queueDeadline - now) * timing_.onTimeFraction;
+    const Duration permitted
+        = std::max<Duration>(pending.queueDeadline - now - latency->serviceTime, std::chrono::milliseconds(1));
+    const double waitFraction = static_cast<double>(latency->wait.count()) / static_cast<double>(permitted.count());
+    const bool isTooLate = waitFraction > MaxWaitFraction;
     if (isTooLate) {
-        service.admission.recordWait(now, pending.route->priority, 1);
+        service.admission.recordWait(now, pending.route->priority, waitFraction);
     }
     const bool isAdmitted = service.admission.admit(now, pending.route->priority) || service.queue.empty();
     if (!isTooLate && isAdmitted) {
         return false;
     }
     pending.isOverloaded = true;
+    const Duration retryAfter
+        = std::max(latency->wait + latency->serviceTime, service.admission.readmittedAfter(pending.route->priority));
     reject(now, session, ResponseCode::Busy, isTooLate ? "queue-too-long" : "class-refused",
-        std::max(*latency, service.admission.readmittedAfter(pending.route->priority)));
+        std::min(retryAfter, timing_.maxOverloadRetryAfter));
     return true;
 }
 
@@ -81,12 +96,13 @@
     PendingStatement &pending = *session.pending;
     const std::optional<Duration> wait
         = homeLoads_.waitIfHopeless(now, backend, homes_.at(backend), pending.route->priority,
-            std::chrono::duration_cast<Duration>((pending.queueDeadline - now) * timing_.onTimeFraction));
+            std::chrono::duration_cast<Duration>((pending.queueDeadline - now) * MaxLatencyFraction));
     if (!wait) {
         return false;
     }
     pending.isOverloaded = true;
-    reject(now, session, ResponseCode::Busy, "homes-overloaded", std::min(*wait, pending.shortestWait.value_or(*wait)));
+    const Duration retryAfter = std::min(*wait, pending.shortestWait.value_or(*wait));
+    reject(now, session, ResponseCode::Busy, "homes-overloaded", std::min(retryAfter, timing_.maxOverloadRetryAfter));
     return true;
 }
 
@@ -99,9 +115,10 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now - pending.arrivedAt).count());
     const Service &service = serviceOf(pending.route->service);
     for (std::uint32_t priority = 0; priority < HomeLoad::Priorities; ++priority) {
-        const std::optional<Duration> latency = predictLatency(now, service, priority, pending.needsPrimary);
+        const PredictedLatency latency
+            = predictLatency(now, service, priority, pending.needsPrimary).value_or(PredictedLatency {});
         const bool isRefused = service.admission.admittedFraction(priority) == 0;
-        const Duration wait = latency.value_or(Duration::zero())
+        const Duration wait = latency.wait + latency.serviceTime
             + (isRefused ? service.admission.readmittedAfter(priority) : Duration::zero());
         load.waitMs.at(priority)
             = static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
@@ -122,12 +139,21 @@
 
 void ProxyCore::onHomeProbe(const VmId &from, const HomeProbe &probe)
 {
-    actions_.emplace_back(SendToEntry { from, HomeProbeResponse { probe.sequence } });
+    const auto found = forwardedSessions_.find({ from, probe.sessionId });
+    const Session *session = found == forwardedSessions_.end() ? nullptr : findSession(found->second);
+    const bool isPending
+        = session != nullptr && session->pending && session->origin && session->origin->sequence == probe.sequence;
+    actions_.emplace_back(SendToEntry { from, HomeProbeResponse { probe.sessionId, probe.sequence, isPending } });
 }
 
-void ProxyCore::onHomeProbeResponse(Instant now, const VmId &from)
+void ProxyCore::onHomeProbeResponse(Instant now, const VmId &from, const HomeProbeResponse &response)
 {
     homeLoads_.recordHeard(now, from);
+    Session *session = findSession(response.sessionId - sessionIdBase_);
+    if (!response.isPending && session != nullptr && session->pending && session->pending->home == from
+        && session->pending->sequence == response.sequence) {
+        handleLostResponse(now, *session, "message-lost");
+    }
 }
 
 void ProxyCore::onHomeLost(Instant now, const VmId &home, std::string_view reason)
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -250,8 +250,9 @@
     } else if (const auto *probe = std::get_if<HomeProbe>(&payload); probe != nullptr) {
         core_.onHomeProbe(from, *probe);
         performActions();
-    } else if (std::holds_alternative<HomeProbeResponse>(payload)) {
-        core_.onHomeProbeResponse(now, from);
+    } else if (const auto *probed = std::get_if<HomeProbeResponse>(&payload); probed != nullptr) {
+        core_.onHomeProbeResponse(now, from, *probed);
+        performActions();
     } else if (const auto *position = std::get_if<PositionResponse>(&payload); position != nullptr) {
         core_.onPositionResponse(now, from, *position);
         performActions();
--- a/unittests/admission/admissionqueuetest.cpp
+++ b/unittests/admission/admissionqueuetest.cpp
@@ -75,6 +75,17 @@
     CHECK(urgent >= 28 && urgent <= 32); // Three quarters.
 }
 
+TEST(AdmissionQueue, MeasuresTheShareOfMoreUrgentStatements)
+{
+    for (int at = 0; at < 80; ++at) {
+        add(0);
+        add(1);
+        startAndCountFrom(0, 1); // The less urgent statements never get their turn.
+    }
+    CHECK(queue.moreUrgentShare(1) > 0.9);
+    CHECK(queue.moreUrgentShare(0) == 0);
+}
+
 TEST(AdmissionQueue, CountsStatementsOfWorkspaceAndForPrimary)
 {
     add(0, "a", 0, true);
--- a/unittests/admission/classadmissiontest.cpp
+++ b/unittests/admission/classadmissiontest.cpp
@@ -47,9 +47,9 @@
 TEST(ClassAdmission, KeepsItsLevelBetweenShortAndLongWaits)
 {
     offer(500ms, 0.9);
-    offer(100ms, 0.45); // Ends the interval in which the waits were long.
+    offer(100ms, 0.4); // Ends the interval in which the waits were long.
     const double fraction = admission.admittedFraction(2);
-    offer(1s, 0.45);
+    offer(1s, 0.4);
     CHECK_EQUAL(fraction, admission.admittedFraction(2));
 }
 
--- a/unittests/proxy/burstcluster.cpp
+++ b/unittests/proxy/burstcluster.cpp
@@ -258,8 +258,8 @@
         core.onPositionRequest(now, from, *query);
     } else if (const auto *probe = std::get_if<HomeProbe>(&message.message); probe != nullptr) {
         core.onHomeProbe(from, *probe);
-    } else if (std::holds_alternative<HomeProbeResponse>(message.message)) {
-        core.onHomeProbeResponse(now, from);
+    } else if (const auto *probed = std::get_if<HomeProbeResponse>(&message.message); probed != nullptr) {
+        core.onHomeProbeResponse(now, from, *probed);
     } else if (const auto *position = std::get_if<PositionResponse>(&message.message); position != nullptr) {
         core.onPositionResponse(now, from, *position);
     }
--- a/unittests/scale/controlsimulation.cpp
+++ b/unittests/scale/controlsimulation.cpp
@@ -298,8 +298,8 @@
             core.onPositionRequest(now_, from, *request);
         } else if (const auto *probe = std::get_if<HomeProbe>(&payload); probe != nullptr) {
             core.onHomeProbe(from, *probe);
-        } else if (std::holds_alternative<HomeProbeResponse>(payload)) {
-            core.onHomeProbeResponse(now_, from);
+        } else if (const auto *probed = std::get_if<HomeProbeResponse>(&payload); probed != nullptr) {
+            core.onHomeProbeResponse(now_, from, *probed);
         } else if (const auto *position = std::get_if<PositionResponse>(&payload); position != nullptr) {
             core.onPositionResponse(now_, from, *position);
         }
