--- a/unittests/proxy/burstcluster.cpp
+++ b/unittests/proxy/burstcluster.cpp
@@ -25,7 +25,7 @@
             1500ms, 1000ms, Targets.at(priority), static_cast<std::uint32_t>(priority), false });
     }
     configuration.services.push_back({ Service, 40, 0 });
-    update.configuration = configuration;
+    update.configuration = encodeConfigurationUpdate(configuration);
     update.topology.emplace();
     update.topology->index = 1;
     update.homes.emplace();
