--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -178,6 +178,7 @@
     ServiceTime serviceTime_;
     std::uint32_t openFailures_ = 0; ///< Consecutive connections that could not be opened.
     bool isAtConnectionLimit_ = false; ///< The server rejected the last connection because of its limit.
+    Instant atConnectionLimitSince_ {};
     std::uint32_t statementFailures_ = 0; ///< Consecutive statements that failed.
     Instant retryAt_ {}; ///< No connection is opened before this time.
     Instant avoidUntil_ {}; ///< No statement is sent before this time, after repeated failures.
--- a/include/daisyrelay/proxy/configurationlease.h
+++ b/include/daisyrelay/proxy/configurationlease.h
@@ -19,9 +19,9 @@
     /// \p bound is zero if the configuration may be relied on without limit.
     explicit ConfigurationLease(Duration bound = Duration::zero());
 
-    /// Records that control, after it had received a report sent at \p reportSentAt, knew \p newestVersion as the newest
-    /// one, while \p ownVersion is in force here. A newer version does not shorten the lease, since it was acknowledged
-    /// later than the report that the lease counts from.
+    /// Records that control, after it had received a report sent at \p reportSentAt, knew \p newestVersion as the
+    /// newest one, while \p ownVersion is in force here. A newer version does not shorten the lease, since it was
+    /// acknowledged later than the report that the lease counts from.
     void confirm(Instant reportSentAt, std::uint64_t newestVersion, std::uint64_t ownVersion);
 
     /// Returns whether work of callers with a key may be accepted.
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -291,10 +291,10 @@
     }
 };
 
-using ClusterPayload = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControlRequest,
-    ForwardedControlResponse, ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest,
-    PositionResponse, RateLimitRequest, RateLimitGrant, HeartbeatDigest, HeartbeatDigestResponse, HomeProbe,
-    HomeProbeResponse>;
+using ClusterPayload
+    = std::variant<RaftMessage, EntryReport, EntryUpdate, LeaderHint, ForwardedControlRequest, ForwardedControlResponse,
+        ForwardedStatement, ForwardedStatementResponse, ForwardedSessionEnd, PositionRequest, PositionResponse,
+        RateLimitRequest, RateLimitGrant, HeartbeatDigest, HeartbeatDigestResponse, HomeProbe, HomeProbeResponse>;
 
 struct ClusterMessage {
     VmId from;
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -88,6 +88,9 @@
     if (!wasOpening && loss == ConnectionLoss::Broken) {
         return;
     }
+    if (loss == ConnectionLoss::ConnectionLimit && !isAtConnectionLimit_) {
+        atConnectionLimitSince_ = now;
+    }
     isAtConnectionLimit_ = loss == ConnectionLoss::ConnectionLimit;
     if (isAtConnectionLimit_) {
         // The server is reachable, and there is room as soon as another VM has closed its connection.
@@ -340,7 +343,10 @@
 
 bool BackendPool::isUnreachable(Instant now) const
 {
-    return (openFailures_ > 1 && idleCount() == 0) || isUnresponsive(now);
+    // Other entries relay statements to a server that leaves no connection to this one for longer than a handover.
+    const bool isShutOut = isAtConnectionLimit_ && now - atConnectionLimitSince_ > timing_.maxConnectionLimitWait
+        && openingCount() == openCount();
+    return (openFailures_ > 1 && idleCount() == 0) || isShutOut || isUnresponsive(now);
 }
 
 std::optional<Instant> BackendPool::lastResponseAt() const
