--- a/include/daisyrelay/supervision.h
+++ b/include/daisyrelay/supervision.h
@@ -2,8 +2,8 @@
 // name.
 #pragma once
 
-#include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/configurationupdates.h"
+#include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/heartbeatresponder.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/supervisionactions.h"
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -3,9 +3,9 @@
 // only applies the log.
 #pragma once
 
-#include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/configurationupdates.h"
 #include "daisyrelay/supervision/configurationwindow.h"
+#include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/entryregistry.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/primarymonitor.h"
