Report the run of the entry in the fencing simulation

Cause: entries ignore leases in responses to reports of another run, and the simulated entries reported a run id that differed from the one of their core: two fencing tests failed (no write was acknowledged). Change: the simulation reports the run of each entry.

--- a/unittests/fencing/fencingsimulation.cpp
+++ b/unittests/fencing/fencingsimulation.cpp
@@ -29,8 +29,9 @@
     for (const char *name : { "e0", "e1", "e2" }) {
         auto entry = std::make_unique<Entry>();
         entry->name = name;
-        entry->core = std::make_unique<ProxyCore>(
-            ZoneId { name }, log_, metrics_, 1000 * (vms_.size() + 1), ProxyTiming {}, policy);
+        entry->runId = 1000 * (vms_.size() + 1);
+        entry->core
+            = std::make_unique<ProxyCore>(ZoneId { name }, log_, metrics_, entry->runId, ProxyTiming {}, policy);
         entry->core->onSessionOpened(now_, WriteSession, "db");
         entry->core->onSessionOpened(now_, ReadSession, "db");
         vms_.push_back(std::move(entry));
@@ -341,7 +342,7 @@
     entry.lastReportAt = now_;
     EntryReport report;
     report.name = entry.name;
-    report.runId = 1;
+    report.runId = entry.runId;
     report.sequence = ++entry.reportSequence;
     entry.core->fillReport(now_, report);
     entry.core->recordReport(now_, report.sequence);
--- a/unittests/fencing/fencingsimulation.h
+++ b/unittests/fencing/fencingsimulation.h
@@ -56,6 +56,7 @@
         std::map<SessionId, Instant> sentAt; ///< Time of the statement in progress of each session.
         std::map<SessionId, std::optional<std::uint64_t>> commitOf;
         std::map<SessionId, std::vector<std::uint64_t>> logSeen;
+        std::uint64_t runId = 0; ///< Also the base of the session identifiers of the core.
         std::uint64_t reportSequence = 0;
         std::uint64_t leader = 0;
         Instant lastReportAt {};
