--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -76,6 +76,14 @@
     return chosen;
 }
 
+/// Returns the number of connections to a server that each entry must be able to hold to do without homes. With
+/// workspaces, a few connections at each entry would rarely fit the workspace of a statement.
+static std::size_t directConnectionsOfEntry(const SupervisionState &state)
+{
+    return std::clamp(
+        state.configuration().workspaces.size(), MinDirectConnections, MinDirectConnectionsWithWorkspaces);
+}
+
 // If every entry can hold a few connections, statements need no forwarding. If connections are too scarce for that, a
 // few entries in the zone of the server hold all of them, so that none is idle while another entry waits for one.
 bool EntryRegistry::assignHomes(Instant now, const SupervisionState &state)
@@ -98,9 +106,7 @@
     std::map<BackendId, std::vector<VmId>> chosen;
     std::map<VmId, std::size_t> homeCounts;
     std::vector<const BackendRecord *> unassigned;
-    // With workspaces, a few connections at each entry would rarely fit the workspace of a statement.
-    const std::size_t directConnections
-        = std::clamp(state.configuration().workspaces.size(), MinDirectConnections, MinDirectConnectionsWithWorkspaces);
+    const std::size_t directConnections = directConnectionsOfEntry(state);
     for (const auto &[id, backend] : state.backends()) {
         const ServiceLimits *limits = state.limitsOf(backend.service);
         if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
