--- a/unittests/proxy/burstcluster.cpp
+++ b/unittests/proxy/burstcluster.cpp
@@ -266,7 +266,7 @@
     perform(to);
 }
 
-void BurstCluster::runExchange(std::size_t vm, RunExchange exchange)
+void BurstCluster::runExchange(std::size_t vm, const RunExchange &exchange)
 {
     const auto found = connections_.find({ vm, exchange.connection });
     if (found == connections_.end()) {
--- a/unittests/proxy/burstcluster.h
+++ b/unittests/proxy/burstcluster.h
@@ -85,7 +85,7 @@
     void perform(std::size_t index);
     void deliver(std::size_t from, SendToEntry message);
     void receive(std::size_t to, const VmId &from, const SendToEntry &message);
-    void runExchange(std::size_t vm, RunExchange exchange);
+    void runExchange(std::size_t vm, const RunExchange &exchange);
     void startStatement(const std::string &server, std::function<void()> done);
     Instant passLink(Instant &freeAt, Instant from, std::size_t bytes) const;
     std::size_t indexOf(const VmId &id) const;
--- a/unittests/proxy/workspacestest.cpp
+++ b/unittests/proxy/workspacestest.cpp
@@ -82,6 +82,7 @@
 {
     service.maxConnections = 3;
     std::vector<SessionId> sessions;
+    sessions.reserve(6);
     for (int at = 0; at < 6; ++at) {
         sessions.push_back(service.open("c" + std::to_string(at), "key" + std::to_string(at)));
     }
@@ -101,6 +102,7 @@
 TEST(Workspaces, BacklogOfOneWorkspaceLeavesConnectionsToOthers)
 {
     std::vector<SessionId> busy;
+    busy.reserve(30);
     for (int at = 0; at < 30; ++at) {
         busy.push_back(service.open("b" + std::to_string(at), "key0"));
     }
@@ -136,7 +138,7 @@
     const SessionId session = service.open("a", "key3");
     CHECK(execute(session, StatementType::Read).code == ResponseCode::Ok);
     revoke("key3");
-    service.workspaces[4].keys.push_back("key3");
+    service.workspaces[4].keys.emplace_back("key3");
     service.configure(ReadGuarantee::Primary);
     CHECK(execute(session, StatementType::Read).code == ResponseCode::Ok);
 }
