Send new callers elsewhere once control is silent where primaries need a lease

Change: under FencingPolicy::Leases an entry without an update from control for a second is not ready. Its idle sessions are closed only once it cannot use most primaries, as before. Where the platform fences, nothing changes.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -379,7 +379,8 @@
     Term updateTerm_ = 0; ///< Leader term and number of the last applied update.
     std::uint64_t updateNumber_ = 0;
     std::optional<Instant> lastControlUpdateAt_;
-    std::optional<Instant> isolatedSince_; ///< Set while neither control nor most primaries respond.
+    std::optional<Instant> isolatedSince_; ///< Set while control is silent; see checkIsolation().
+    bool canUseFewPrimaries_ = false; ///< Most primaries do not respond, or no lease is alive.
     std::optional<Instant> drainStartedAt_;
     Duration drainGrace_ {};
     std::vector<ProxyAction> actions_;
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -48,8 +48,9 @@
     Duration serviceCheckInterval = std::chrono::milliseconds(30);
     /// How long the peak demand for connections is remembered.
     Duration demandWindow = std::chrono::seconds(5);
-    /// The entry is isolated if neither control nor most primaries have responded for this time. A change of the
-    /// control leader takes less time.
+    /// The entry is isolated if control has not responded for this time and it cannot use most primaries, or soon will
+    /// not. A change of the control leader takes less time. A primary without a response for this time counts as
+    /// unusable.
     Duration isolationTimeout = std::chrono::milliseconds(1000);
     /// Time until the load balancer has stopped sending callers: two missed health checks, one second apart.
     Duration drainNoticeTime = std::chrono::milliseconds(2300);
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -82,7 +82,7 @@
     const auto isPastNoticeTime = [this, now](const std::optional<Instant> &startedAt) {
         return startedAt && now - *startedAt >= timing_.drainNoticeTime;
     };
-    return isPastNoticeTime(drainStartedAt_) || isPastNoticeTime(isolatedSince_);
+    return isPastNoticeTime(drainStartedAt_) || (canUseFewPrimaries_ && isPastNoticeTime(isolatedSince_));
 }
 
 bool ProxyCore::isDrained(Instant now) const
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -244,7 +244,9 @@
 }
 
 // An entry that is cut off together with its availability zone can run hardly any statement, while its callers can
-// still reach other entries.
+// still reach other entries. Where primaries are used under a lease, control extends none on an entry that it cannot
+// reach, so new callers are sent elsewhere before the lease expires. Idle sessions stay while most primaries can be
+// used, since they would only return here if all entries have lost control.
 void ProxyCore::checkIsolation(Instant now)
 {
     std::size_t unresponsiveCount = 0;
@@ -256,9 +258,10 @@
         localCount += isLocal ? 1 : 0;
         unresponsiveCount += isLocal && (!lastResponseAt || now - *lastResponseAt > timing_.isolationTimeout) ? 1 : 0;
     }
+    canUseFewPrimaries_ = (localCount > 0 && 2 * unresponsiveCount > localCount) || !lease_.isAlive(now)
+        || (directory_->requiresKeys() && !configurationLease_.isValid(now));
     const bool isIsolated = lastControlUpdateAt_ && now - *lastControlUpdateAt_ > timing_.isolationTimeout
-        && ((localCount > 0 && 2 * unresponsiveCount > localCount) || !lease_.isAlive(now)
-            || (directory_->requiresKeys() && !configurationLease_.isValid(now)));
+        && (canUseFewPrimaries_ || lease_.policy() == FencingPolicy::Leases);
     if (isIsolated != isolatedSince_.has_value()) {
         log_.log(now, isIsolated ? "entry.isolated" : "entry.reconnected",
             { { "control_silent_ms", now - *lastControlUpdateAt_ },
