Keep fewer idle connections and relay sooner to servers at their limit

Cause: after a loss of power of all VMs the servers count the connections of the dead VMs for 3 s. Entries kept up to 14 of 16 connections to a primary open, so that two or three of six entries got none until then and refused what arrived (waited, attempts 0); relays through other entries began only after 600 ms.

Change: idle connections beyond one are closed after 500 ms instead of 3 s, and a server that refuses all connections because of its limit counts as unreachable after 200 ms instead of 600.

--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -14,9 +14,10 @@
     /// Delay after a server has rejected a connection because of its connection limit. Not increased: VMs release
     /// connections within a few hundred milliseconds, and a rejection costs the server little.
     Duration connectionLimitBackoff = std::chrono::milliseconds(60);
-    /// A server that has rejected all connections because of its limit for this time counts as unreachable. VMs that
-    /// take over connections from others get them sooner.
-    Duration maxConnectionLimitWait = std::chrono::milliseconds(600);
+    /// A server that has rejected all connections because of its limit for this time counts as unreachable, so that
+    /// other entries relay statements to it. After a loss of all VMs the server drops their connections only seconds
+    /// later.
+    Duration maxConnectionLimitWait = std::chrono::milliseconds(200);
     /// Delay before a statement is sent again to a server that rejected it as busy.
     Duration busyBackoff = std::chrono::milliseconds(8);
     /// A new position of the primary is requested when the newest sample is older. Staleness bounds are at least one
@@ -77,8 +78,8 @@
     /// Upper limit of the lag backoff; below the usual staleness bounds.
     Duration maxLagBackoff = std::chrono::milliseconds(1200);
     /// Idle connections beyond one are closed after this time. Those of a VM that loses power count against the
-    /// server's connection limit when the VM starts again.
-    Duration idleConnectionTimeout = std::chrono::seconds(3);
+    /// server's connection limit when the VM starts again, so fewer of them leave more room for a restart.
+    Duration idleConnectionTimeout = std::chrono::milliseconds(500);
     /// The same for connections that belong to a workspace. Fewer statements can use each of them, so they are kept for
     /// longer, and closed earlier if another workspace needs the room.
     Duration idleWorkspaceConnectionTimeout = std::chrono::seconds(20);
