Refuse statements that a failover outlasts at once, with the time of its end

Cause: during a failover entries held each statement for its whole time in the queue (100 to 300 ms) and then sent callers away for a constant 200 ms, while the leader knew when the last lease expires and how long promotions take here.

Change: updates tell the expected remaining time of each failover (FailoverStatus; lease expiry from LeaseLedger, promotion time measured by FailoverForecast). A statement that cannot wait for it is refused at once, with a time to return that ReturnSchedule spreads evenly over a quarter of the outage. The others wait as before.

A restarted control VM also logs the entries that it restored in one line (log.restored) instead of one line each.

--- a/include/daisyrelay/limits.h
+++ b/include/daisyrelay/limits.h
@@ -10,4 +10,5 @@
 #include "daisyrelay/limits/reconnectschedule.h"
 #include "daisyrelay/limits/requestgate.h"
 #include "daisyrelay/limits/retrybudget.h"
+#include "daisyrelay/limits/returnschedule.h"
 #include "daisyrelay/limits/servicetime.h"
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -110,6 +110,7 @@
         PrimaryRecord primary;
         std::set<BackendId> backends; ///< All backend servers of the service.
         bool isFailingOver = false;
+        Instant failoverEndsAt {}; ///< Expected by control; valid while isFailingOver.
         FreshnessHistory freshness;
         AdmissionQueue queue;
         ClassAdmission admission;
@@ -175,6 +176,8 @@
     void abortLeasedTransactions(Instant now, const ServiceId &service);
     /// Reports a release of each withdrawn service that has no exchange with its primary in flight.
     void releaseWithdrawn(Instant now);
+    /// Rejects a statement that cannot wait for the end of the failover. \returns whether it was rejected.
+    bool rejectDuringFailover(Instant now, Session &session, const Service &service);
     [[nodiscard]] bool isPrimaryInOwnZone(const Service &service) const;
     [[nodiscard]] bool canUsePrimary(Instant now, const ServiceId &service) const;
     /// Returns whether a response on \p connection that arrives at \p now is valid.
@@ -374,6 +377,7 @@
     Instant lastServiceCheckAt_ {};
     Instant lastDemandReportAt_ {};
     PrimaryLease lease_;
+    ReturnSchedule returns_;
     bool wasLeaseAlive_ = false; ///< Whether the lease was alive at the last tick.
     std::map<ServiceId, Instant> withdrawnAt_; ///< When the withdrawal of a service that is not released arrived.
     Term updateTerm_ = 0; ///< Leader term and number of the last applied update.
--- a/include/daisyrelay/supervision/leaseledger.h
+++ b/include/daisyrelay/supervision/leaseledger.h
@@ -54,6 +54,9 @@
     /// Returns the entries that a withdrawal still waits for; an empty name stands for unknown entries.
     [[nodiscard]] std::vector<VmId> outstanding(Instant now, const ServiceId &service) const;
 
+    /// Returns when the last lease expires that a withdrawal still waits for; \p now if there is none.
+    [[nodiscard]] Instant expiresAt(Instant now, const ServiceId &service) const;
+
     [[nodiscard]] std::vector<PrimaryWithdrawal> withdrawals() const;
 
 private:
--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/supervision/entryregistry.h"
+#include "daisyrelay/supervision/failoverforecast.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/supervisionactions.h"
 #include "daisyrelay/telemetry.h"
@@ -22,6 +23,7 @@
     Term leaderTerm = 0;
     std::function<std::uint64_t()> nextId;
     std::function<void(SupervisionAction)> emit;
+    FailoverForecast &forecast;
     Duration probeInterval {}; ///< Interval between two probes of a primary that responds.
 };
 
@@ -51,6 +53,10 @@
     /// Tells whether the primary is being replaced.
     [[nodiscard]] bool isFailingOver() const;
 
+    /// Returns the expected time until the primary is replaced. Requires a failover in progress.
+    [[nodiscard]] Duration expectedRemaining(
+        Instant now, const LeaseLedger &leases, const FailoverForecast &forecast) const;
+
 private:
     enum class Stage : std::uint8_t {
         FindingPrimary, ///< No primary has been recorded yet.
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -33,6 +33,10 @@
     /// before any other input, because the process may have been suspended in between.
     void onLeadership(Instant now, bool isLeader, Term term, std::vector<VmId> controlVms);
 
+    /// Sets the index of the last entry that was restored from disk. Entries up to it are not logged one by one when
+    /// they are committed again, since an operator would take them for events.
+    void setRestoredIndex(std::uint64_t index);
+
     void onCommitted(Instant now, const LogEntry &entry);
     Expected<void> restore(std::string_view bytes);
     [[nodiscard]] std::string snapshot() const;
@@ -111,6 +115,7 @@
     Instant leaderSince_ {};
     Instant homesAssignedAt_ {};
     std::deque<std::pair<std::uint64_t, Instant>> recentVersions_; ///< Versions and when they were committed, in order.
+    std::uint64_t restoredIndex_ = 0;
     bool isPushDue_ = false;
     std::vector<VmId> controlVms_;
     EntryRegistry entries_;
@@ -125,6 +130,7 @@
     std::map<ServiceId, PrimaryMonitor> monitors_;
     std::uint64_t monitoredTopology_ = 0; ///< Index of the topology whose services all have a monitor.
     std::set<ServiceId> failingOver_;
+    FailoverForecast forecast_;
     std::map<std::uint64_t, ServiceId> serviceByProbe_; ///< Probes in flight.
     Instant silentBackendsCheckedAt_ {};
     std::deque<PendingRequest> pendingRequests_;
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -100,6 +100,18 @@
     }
 };
 
+/// A service whose primary is being replaced.
+struct FailoverStatus {
+    ServiceId service;
+    std::uint32_t remainingMs = 0; ///< Expected time until the new primary is known.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, remainingMs);
+    }
+};
+
 /// The entries that hold the connections to a backend server with too few connections for all entries.
 struct BackendHomes {
     BackendId backend;
@@ -144,7 +156,7 @@
     std::vector<VmId> peers; ///< Some other entries, for use while no control VM can be reached.
     std::uint32_t reportIntervalMs = 0;
     std::optional<HomesUpdate> homes; ///< Present if the entry lacks some.
-    std::vector<ServiceId> failingOver; ///< Services whose primary is being replaced.
+    std::vector<FailoverStatus> failingOver; ///< Services whose primary is being replaced.
     std::uint64_t number = 0; ///< Increases with each update of a leader to any entry; zero if it is not numbered.
     std::uint64_t topologyIndex = 0; ///< Index of the leader's topology.
     /// Durations of the lease on all primaries of that topology, counted from the sending of the report that the update
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -132,6 +132,9 @@
     }
     const bool isAvailable = pool != nullptr && pool->isUsable(now) && !pool->isUnresponsive(now);
     if (!isAvailable) {
+        if (rejectDuringFailover(now, session, service)) {
+            return Placement::Rejected;
+        }
         const std::optional<Instant> lastResponseAt = pool == nullptr ? std::nullopt : pool->lastResponseAt();
         const bool isLongOutage
             = lastResponseAt && now - *lastResponseAt > timing_.maxFailoverTime && !service.isFailingOver;
--- a/lib/proxy/leases.cpp
+++ b/lib/proxy/leases.cpp
@@ -127,6 +127,15 @@
         && lease_.canDeliver(now, service, pool.record().zone == zone_);
 }
 
+bool ProxyCore::rejectDuringFailover(Instant now, Session &session, const Service &service)
+{
+    if (!service.isFailingOver || service.failoverEndsAt <= session.pending->queueDeadline) {
+        return false;
+    }
+    reject(now, session, ResponseCode::Busy, "failing-over", returns_.nextDelay(service.failoverEndsAt - now));
+    return true;
+}
+
 ProxyCore::Placement ProxyCore::waitForLease(Instant now, Session &session, const Service &service)
 {
     const bool isAlive = lease_.isAlive(now, isPrimaryInOwnZone(service));
@@ -135,6 +144,9 @@
         reject(now, session, ResponseCode::WrongBackend, "no-lease", timing_.busyBackoff);
         return Placement::Rejected;
     }
+    if (rejectDuringFailover(now, session, service)) {
+        return Placement::Rejected;
+    }
     // A withdrawal ends with the failover. A lease that has expired is not expected back soon.
     if (isAlive && service.isFailingOver && now < session.pending->queueDeadline) {
         return Placement::Waiting;
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -11,8 +11,8 @@
     }
     return services_
         .emplace(service,
-            Service { {}, {}, false, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, {},
-                {}, {} })
+            Service { {}, {}, false, {}, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {},
+                {}, {}, {} })
         .first->second;
 }
 
@@ -52,8 +52,10 @@
     for (auto &[id, service] : services_) {
         service.isFailingOver = false;
     }
-    for (const ServiceId &service : update.failingOver) {
-        serviceOf(service).isFailingOver = true;
+    for (const auto &[id, remainingMs] : update.failingOver) {
+        Service &service = serviceOf(id);
+        service.isFailingOver = true;
+        service.failoverEndsAt = now + std::chrono::milliseconds(remainingMs);
     }
     applyLease(now, update);
     checkOpeningSessions(now);
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -75,15 +75,14 @@
         return tl::unexpected(driver.error());
     }
     raft_ = std::move(*driver);
+    supervisor_.setRestoredIndex(raft_->core().log().lastIndex());
     if (Expected<void> listening = peers_.listen(); !listening) {
         return listening;
     }
     HttpServerOptions options;
     options.maxConnections = maxApiConnections();
-    apiServer_ = std::make_unique<HttpServer>(
-        context_.io, std::move(options), [this](const HttpRequest &request, const HttpResponseCallback &respond) {
-            handleHttpRequest(request, respond);
-        });
+    apiServer_ = std::make_unique<HttpServer>(context_.io, std::move(options),
+        [this](const HttpRequest &request, const auto &respond) { handleHttpRequest(request, respond); });
     if (Expected<void> listening = apiServer_->listen(context_.settings.controlApi); !listening) {
         return listening;
     }
--- a/lib/supervision/leaseledger.cpp
+++ b/lib/supervision/leaseledger.cpp
@@ -115,6 +115,17 @@
     return entries;
 }
 
+Instant LeaseLedger::expiresAt(Instant now, const ServiceId &service) const
+{
+    Instant latest = std::max(now, unknownUntil_);
+    if (const auto found = withdrawals_.find(service); found != withdrawals_.end()) {
+        for (const auto &[entry, lease] : found->second.holders) {
+            latest = std::max(latest, lease.expiresAt);
+        }
+    }
+    return latest;
+}
+
 std::vector<PrimaryWithdrawal> LeaseLedger::withdrawals() const
 {
     std::vector<PrimaryWithdrawal> list;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -20,6 +20,26 @@
     return stage_ != Stage::Monitoring && stage_ != Stage::FindingPrimary;
 }
 
+Duration PrimaryMonitor::expectedRemaining(
+    Instant now, const LeaseLedger &leases, const FailoverForecast &forecast) const
+{
+    // Entries that can be reached release a primary within two report intervals; the leases of the others must expire.
+    constexpr Duration UsualReleaseTime = std::chrono::milliseconds(300);
+    constexpr Duration UsualSurveyTime = std::chrono::milliseconds(50);
+    const Duration elapsed = now - enteredAt_;
+    switch (stage_) {
+    case Stage::Withdrawing: {
+        const Duration release
+            = elapsed < UsualReleaseTime ? UsualReleaseTime - elapsed : leases.expiresAt(now, service_) - now;
+        return release + UsualSurveyTime + forecast.promotionTime();
+    }
+    case Stage::AwaitingRole:
+        return std::max<Duration>(forecast.promotionTime() - elapsed, UsualSurveyTime);
+    default:
+        return UsualSurveyTime + forecast.promotionTime();
+    }
+}
+
 void PrimaryMonitor::tick(Instant now, const MonitorContext &context)
 {
     if (!inDoubtUntil_) {
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -123,6 +123,7 @@
             }
         }
         isCallInFlight_ = false;
+        context.forecast.recordPromotion(now - enteredAt_);
         context.leases.restore(service_);
         enterStage(now, Stage::Monitoring);
         return;
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -69,7 +69,7 @@
             }
             actions_.push_back(std::move(action));
         },
-        probeInterval() };
+        forecast_, probeInterval() };
 }
 
 Duration Supervisor::probeInterval() const
@@ -82,6 +82,11 @@
     actions_.emplace_back(ProposeSupervision { std::move(command) });
 }
 
+void Supervisor::setRestoredIndex(std::uint64_t index)
+{
+    restoredIndex_ = index;
+}
+
 void Supervisor::onCommitted(Instant now, const LogEntry &entry)
 {
     const Expected<SupervisionCommand> command = decodeSupervisionCommand(entry.command);
@@ -95,8 +100,12 @@
     if (hasChanged && std::holds_alternative<PutConfiguration>(*command)) {
         configurations_.record(state_.configuration());
     }
-    if (hasChanged) {
+    if (hasChanged && entry.index > restoredIndex_) {
         logCommand(now, *command, entry.index);
+    } else if (entry.index == restoredIndex_) {
+        log_.log(now, "log.restored",
+            { { "index", entry.index }, { "config_version", state_.configuration().version },
+                { "backends", std::uint64_t { state_.backends().size() } } });
     }
     if (hasChanged && std::holds_alternative<PutConfiguration>(*command)) {
         constexpr std::size_t MaxRecentVersions = 64;
@@ -362,7 +371,11 @@
             update.homes = entries_.homesSince(session.report.homesVersion);
         }
     }
-    update.failingOver.assign(failingOver_.begin(), failingOver_.end());
+    for (const ServiceId &service : failingOver_) {
+        const Duration remaining = monitors_.at(service).expectedRemaining(now, leases_, forecast_);
+        update.failingOver.push_back({ service,
+            static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count()) });
+    }
     update.reportIntervalMs = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(entries_.reportInterval()).count());
     actions_.emplace_back(SendEntryUpdate { entry, std::move(update) });
--- a/unittests/supervision/leaseregistrartest.cpp
+++ b/unittests/supervision/leaseregistrartest.cpp
@@ -127,3 +127,26 @@
     CHECK(restored.has_value());
     CHECK(restored->leaseHolders().records().empty());
 }
+
+// A leader change at the same time as the loss of a primary must not add the duration of a lease to the failover.
+TEST(LeaseRegistrar, EntryGetsNoLeaseBeforeItsRegistrationIsCommitted)
+{
+    EventLog log { [](std::string_view) {} };
+    Metrics metrics;
+    Supervisor fencing { log, metrics, 1, {}, FencingPolicy::Leases };
+    fencing.onLeadership(now, true, 1, { VmId { "c" } });
+    const auto lastLease = [&fencing]() {
+        LeaseDurations lease;
+        for (const SupervisionAction &action : fencing.takeActions()) {
+            if (const auto *update = std::get_if<SendEntryUpdate>(&action); update != nullptr) {
+                lease = update->update.lease;
+            }
+        }
+        return lease;
+    };
+    fencing.onReport(now, VmId { "e" }, EntryReport { .zone = ZoneId { "z" }, .runId = 1, .sequence = 1 });
+    CHECK(lastLease() == LeaseDurations {});
+    const RegisterLeaseHolder registration { VmId { "e" }, ZoneId { "z" } };
+    fencing.onCommitted(now, { 1, 1, encodeSupervisionCommand(registration), LogEntryKind::Command });
+    CHECK(lastLease() != LeaseDurations {});
+}
