Close idle connections sooner only where an entry may open few

Change: 500 ms applies while the entry may open at most four connections to the server, 3 s otherwise.

--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -78,8 +78,13 @@
     /// Upper limit of the lag backoff; below the usual staleness bounds.
     Duration maxLagBackoff = std::chrono::milliseconds(1200);
     /// Idle connections beyond one are closed after this time. Those of a VM that loses power count against the
-    /// server's connection limit when the VM starts again, so fewer of them leave more room for a restart.
-    Duration idleConnectionTimeout = std::chrono::milliseconds(500);
+    /// server's connection limit when the VM starts again.
+    Duration idleConnectionTimeout = std::chrono::seconds(3);
+    /// The same for a server of which this entry may open few connections. Its limit is nearly used up by all entries
+    /// together, so fewer idle connections leave more room for a restart.
+    Duration idleScarceConnectionTimeout = std::chrono::milliseconds(500);
+    /// Quota up to which connections count as scarce.
+    std::uint32_t scarceQuota = 4;
     /// The same for connections that belong to a workspace. Fewer statements can use each of them, so they are kept for
     /// longer, and closed earlier if another workspace needs the room.
     Duration idleWorkspaceConnectionTimeout = std::chrono::seconds(20);
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -195,8 +195,9 @@
         BackendPool *pool = findPool(*at);
         if (pool != nullptr && !pool->connections().empty()) {
             if (const std::optional<ConnectionId> connection = pool->unneededConnection(now,
-                    directory_->requiresKeys() ? timing_.idleWorkspaceConnectionTimeout
-                                               : timing_.idleConnectionTimeout);
+                    directory_->requiresKeys()                 ? timing_.idleWorkspaceConnectionTimeout
+                        : pool->quota() <= timing_.scarceQuota ? timing_.idleScarceConnectionTimeout
+                                                               : timing_.idleConnectionTimeout);
                 connection) {
                 closeConnection(now, *pool, *connection, ConnectionLoss::Broken);
             }
