--- a/unittests/fencing/fencingsimulation.cpp
+++ b/unittests/fencing/fencingsimulation.cpp
@@ -30,8 +30,8 @@
         auto entry = std::make_unique<Entry>();
         entry->name = name;
         entry->runId = 1000 * (vms_.size() + 1);
-        entry->core
-            = std::make_unique<ProxyCore>(ZoneId { std::string("z") + name[1] }, log_, metrics_, entry->runId, ProxyTiming {}, policy);
+        entry->core = std::make_unique<ProxyCore>(
+            ZoneId { std::string("z") + name[1] }, log_, metrics_, entry->runId, ProxyTiming {}, policy);
         entry->core->onSessionOpened(now_, WriteSession, "db");
         entry->core->onSessionOpened(now_, ReadSession, "db");
         vms_.push_back(std::move(entry));
@@ -146,8 +146,8 @@
         && now_.time_since_epoch() % HeartbeatInterval == Duration::zero()) {
         ++heartbeatSequence_;
         for (const auto &[name, database] : platform_.databases) {
-            BackendHeartbeat heartbeat { { BackendId { name }, 1, Service, name, 80, ZoneId { "z" + name.substr(1) }, 2, false,
-                                             database.isPrimary },
+            BackendHeartbeat heartbeat { { BackendId { name }, 1, Service, name, 80, ZoneId { "z" + name.substr(1) }, 2,
+                                             false, database.isPrimary },
                 heartbeatSequence_ };
             if (database.isUp && isLeader(*controls_[*leader_])) {
                 controls_[*leader_]->supervisor->onRequest(now_, heartbeatSequence_, heartbeat);
