--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -14,10 +14,9 @@
     /// Delay after a server has rejected a connection because of its connection limit. Not increased: VMs release
     /// connections within a few hundred milliseconds, and a rejection costs the server little.
     Duration connectionLimitBackoff = std::chrono::milliseconds(60);
-    /// A server that has rejected all connections because of its limit for this time counts as unreachable, so that
-    /// other entries relay statements to it. After a loss of all VMs the server drops their connections only seconds
-    /// later.
-    Duration maxConnectionLimitWait = std::chrono::milliseconds(200);
+    /// A server that has rejected all connections because of its limit for this time counts as unreachable. VMs that
+    /// take over connections from others get them sooner.
+    Duration maxConnectionLimitWait = std::chrono::milliseconds(600);
     /// Delay before a statement is sent again to a server that rejected it as busy.
     Duration busyBackoff = std::chrono::milliseconds(8);
     /// A new position of the primary is requested when the newest sample is older. Staleness bounds are at least one
