Reword comments and say what the new tests guard against

Cause: several comments of the last changes named things without a reason or needed the history of the change. Change: comments only; the code is the same.

--- a/include/daisyrelay/limits/returnschedule.h
+++ b/include/daisyrelay/limits/returnschedule.h
@@ -7,8 +7,8 @@
 
 namespace daisyrelay {
 
-/// Tells callers that are rejected during an outage with a known end when to return. Without a spread all of them would
-/// return in the instant in which service resumes, and most would be rejected again for load.
+/// Chooses the retry delay of callers that are rejected during an outage whose end is known. If all of them retried at
+/// its end, most would be rejected again because of the load.
 class ReturnSchedule
 {
 public:
--- a/include/daisyrelay/proxy/primarylease.h
+++ b/include/daisyrelay/proxy/primarylease.h
@@ -37,10 +37,11 @@
     /// releases a withdrawn service for the first time.
     bool release(const ServiceId &service);
 
-    /// Tells whether the lease on primaries of other availability zones is alive, which is the longer one.
+    /// Tells whether the longer lease, that on primaries in other availability zones, has not expired.
     [[nodiscard]] bool isAlive(Instant now) const;
 
-    /// Tells whether the lease on primaries is alive that are in the entry's own availability zone if \p isOwnZone.
+    /// Tells whether the lease has not expired that applies to a primary. \p isOwnZone tells whether the primary is in
+    /// the availability zone of this entry.
     [[nodiscard]] bool isAlive(Instant now, bool isOwnZone) const;
 
     /// Tells whether a statement may be sent to the primary of \p service.
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -79,10 +79,10 @@
     /// Idle connections beyond one are closed after this time. Those of a VM that loses power count against the
     /// server's connection limit when the VM starts again.
     Duration idleConnectionTimeout = std::chrono::seconds(3);
-    /// The same for a server of which this entry may open few connections. Its limit is nearly used up by all entries
-    /// together, so fewer idle connections leave more room for a restart.
+    /// The same if this entry may open only few connections to the server. The entries together then use most of the
+    /// server's limit, and idle connections would leave no room for entries that restart.
     Duration idleScarceConnectionTimeout = std::chrono::milliseconds(500);
-    /// Quota up to which connections count as scarce.
+    /// Largest quota of connections to a server that counts as few.
     std::uint32_t scarceQuota = 4;
     /// The same for connections that belong to a workspace. Fewer statements can use each of them, so they are kept for
     /// longer, and closed earlier if another workspace needs the room.
--- a/include/daisyrelay/supervision/failoverforecast.h
+++ b/include/daisyrelay/supervision/failoverforecast.h
@@ -16,7 +16,8 @@
     [[nodiscard]] Duration promotionTime() const;
 
 private:
-    /// Used until the first promotion has succeeded. Short, so that callers are not sent away for too long.
+    /// Initial estimate, replaced by the first measurement. An estimate that is too high rejects statements that could
+    /// have waited.
     Duration promotionTime_ = std::chrono::milliseconds(500);
     bool isMeasured_ = false;
 };
--- a/include/daisyrelay/supervision/leaseledger.h
+++ b/include/daisyrelay/supervision/leaseledger.h
@@ -30,8 +30,9 @@
     /// entry of \p holders; if there is none, to entries that are unknown to this leader.
     void reset(Instant now, const LeaseHolderTable &holders);
 
-    /// Grants or extends the lease of the run \p runId of \p entry in \p zone. \returns the durations, to be counted by
-    /// the entry from the sending of its report; zero if the policy needs no leases.
+    /// Grants or extends the lease of the run \p runId of \p entry in \p zone.
+    /// \returns the durations, which the entry counts from the time at which it sent its report; zero if the policy
+    /// needs no leases.
     LeaseDurations grant(Instant now, const VmId &entry, std::uint64_t runId, const ZoneId &zone);
 
     /// Records the releases in a report of the run \p runId of \p entry. A release of another withdrawal is ignored.
--- a/include/daisyrelay/supervision/leaseregistrar.h
+++ b/include/daisyrelay/supervision/leaseregistrar.h
@@ -1,4 +1,4 @@
-// Registers entries in the replicated log before they get a lease, and removes those that are gone.
+// Registers entries in the replicated log before they get a lease, and removes entries that no longer report.
 #pragma once
 
 #include "daisyrelay/supervision/leaseholdertable.h"
@@ -18,8 +18,8 @@
 
     LeaseRegistrar(SupervisionTiming timing, Propose propose);
 
-    /// Forgets the proposals of an earlier leadership. Called when this control VM becomes the leader in a new term;
-    /// the entries of \p table count as heard at \p now.
+    /// Called when this control VM becomes the leader in a new term. Discards the proposals of earlier terms, and
+    /// counts the time since the last report of each entry of \p table from \p now.
     void reset(Instant now, const LeaseHolderTable &table);
 
     /// Records a report of \p entry and proposes its registration if necessary.
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -37,8 +37,8 @@
     Duration promotionRetryDelay = std::chrono::milliseconds(150);
     /// An accepted promotion must take effect within this time.
     Duration promotionEffectTimeout = std::chrono::milliseconds(3000);
-    /// Durations of a lease on the primaries. Together they cover the loss of a control leader; an entry that cannot be
-    /// reached delays a failover by as long.
+    /// Durations of a lease on the primaries. They bridge a change of the control leader. An entry that cannot be
+    /// reached delays the failover of a primary by the duration that applies to it.
     LeaseDurations primaryLease { std::chrono::milliseconds(3000), std::chrono::milliseconds(1500) };
     /// Duration of the authority over a coordinator slot. Limits how long the offline allowances of entries have to
     /// replace a lost coordinator.
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -159,8 +159,8 @@
     std::vector<FailoverStatus> failingOver; ///< Services whose primary is being replaced.
     std::uint64_t number = 0; ///< Increases with each update of a leader to any entry; zero if it is not numbered.
     std::uint64_t topologyIndex = 0; ///< Index of the leader's topology.
-    /// Durations of the lease on all primaries of that topology, counted from the sending of the report that the update
-    /// responds to. Zero if the update grants none.
+    /// Durations of the lease on all primaries of that topology. The entry counts them from the time at which it sent
+    /// the report that this update responds to. Zero if the update grants no lease.
     LeaseDurations lease;
     std::vector<PrimaryWithdrawal> withdrawn; ///< All current withdrawals; the lease does not cover these services.
     CoordinatorUpdate coordinators;
--- a/lib/limits/returnschedule.cpp
+++ b/lib/limits/returnschedule.cpp
@@ -8,7 +8,7 @@
 {
     constexpr Duration MinSpread = std::chrono::milliseconds(50);
     constexpr Duration MaxSpread = std::chrono::milliseconds(250);
-    // Multiples of the golden ratio stay evenly spread for any number of callers.
+    // The fractional parts of multiples of the golden ratio are evenly distributed for any number of callers.
     constexpr std::uint32_t GoldenRatioStep = 0x9e3779b9;
     constexpr unsigned FractionBits = 32;
     position_ += GoldenRatioStep;
--- a/lib/proxy/leases.cpp
+++ b/lib/proxy/leases.cpp
@@ -102,7 +102,7 @@
     }
 }
 
-// An unknown primary counts as one of the own zone, whose lease is the shorter one.
+// If the primary is unknown, the shorter lease applies.
 bool ProxyCore::isPrimaryInOwnZone(const Service &service) const
 {
     const auto pool = pools_.find(service.primary.backend);
--- a/lib/supervision/leaseholdertable.cpp
+++ b/lib/supervision/leaseholdertable.cpp
@@ -8,7 +8,7 @@
     if (isNew) {
         record->second.zone = command.zone;
     } else if (record->second.zone != command.zone) {
-        // Another VM has taken over the address; the former one may still hold a lease.
+        // A VM in another zone has taken over the address. The lease of the former VM may not have expired.
         record->second.zone = {};
     }
     record->second.registeredAt = index;
--- a/unittests/proxy/failoverwaittest.cpp
+++ b/unittests/proxy/failoverwaittest.cpp
@@ -27,7 +27,7 @@
     }
 };
 
-// Callers that are held until their time in the queue is over could have used it elsewhere.
+// Guards against holding a statement that is known to be rejected later; its caller could retry at another entry.
 TEST(FailoverWait, StatementThatTheFailoverOutlastsIsRefusedAtOnce)
 {
     sendDuringFailover(2500);
@@ -43,7 +43,7 @@
     CHECK(!entry.response);
 }
 
-// The caller must learn when to return while it can still use the answer.
+// Guards against an outdated estimate: the statement must not wait for the end that was expected at first.
 TEST(FailoverWait, StatementThatWaitsIsRefusedWhenTheFailoverIsDelayed)
 {
     sendDuringFailover(100);
--- a/unittests/proxy/isolationtest.cpp
+++ b/unittests/proxy/isolationtest.cpp
@@ -39,7 +39,7 @@
     CHECK(isReady());
 }
 
-// While all entries have lost control, closed sessions would only return to one of them.
+// Guards against needless reconnects while all entries have lost control.
 TEST(Isolation, IdleSessionsStayWhilePrimariesCanBeUsed)
 {
     entry.exchangeReport();
--- a/unittests/proxy/leasedentry.h
+++ b/unittests/proxy/leasedentry.h
@@ -44,7 +44,7 @@
         run(std::chrono::milliseconds(200));
     }
 
-    /// Renews the lease.
+    /// Sends a report to control and receives a response that renews the lease.
     void exchangeReport()
     {
         core.recordReport(now, ++sequence);
--- a/unittests/supervision/leaseregistrartest.cpp
+++ b/unittests/supervision/leaseregistrartest.cpp
@@ -73,7 +73,7 @@
     CHECK(table.find(entry) == nullptr);
 }
 
-// Without this an entry that returns while its removal is being committed would hold a lease and be unknown.
+// Guards against a lease that no later leader knows of: the entry reports again while its removal is being committed.
 TEST(LeaseRegistrar, ReturningEntryIsRegisteredAgainBeforeItGetsALease)
 {
     report(zone);
@@ -118,7 +118,8 @@
     CHECK(restored->leaseHolders().records() == state.leaseHolders().records());
 }
 
-// Snapshots written before lease holders were recorded end with the pending promotions.
+// Guards against a control VM that does not start after an upgrade. Snapshots of earlier versions end before the lease
+// holders.
 TEST(LeaseRegistrar, SnapshotWithoutLeaseHoldersIsRead)
 {
     std::string bytes = SupervisionState().encode();
--- a/unittests/supervision/restoredlogtest.cpp
+++ b/unittests/supervision/restoredlogtest.cpp
@@ -8,7 +8,7 @@
 
 TEST_GROUP(RestoredLog) {};
 
-// Operators read each line about a change as an event.
+// Guards against a restart that looks like a series of new changes in the log of a control VM.
 TEST(RestoredLog, RestoredEntriesAreLoggedInOneLine)
 {
     const Instant now { 100s };
