--- a/unittests/fencing/fencingsimulation.h
+++ b/unittests/fencing/fencingsimulation.h
@@ -80,6 +80,10 @@
     void sendStatements(Entry &entry);
     void checkResponse(Entry &entry, const SendResponse &response);
 
+    static constexpr Duration NetworkDelay = std::chrono::milliseconds(2);
+    static constexpr SessionId WriteSession = 1;
+    static constexpr SessionId ReadSession = 2;
+
     Instant now_ { std::chrono::hours(1) };
     FencingPolicy policy_;
     std::mt19937_64 random_;
