--- a/unittests/soak/consistencycheckertest.cpp
+++ b/unittests/soak/consistencycheckertest.cpp
@@ -163,6 +163,43 @@
     checkViolation("MIXED");
 }
 
+// A read without a response in time is sent to a second server. The first attempt may run last.
+TEST(ConsistencyChecker, ReadThatRanTwiceMayReturnEitherRun)
+{
+    send("r", Effect::Read);
+    StatementRun second = makeRun("r");
+    second.signature = "other signature of r";
+    second.row = "other row of r";
+    checker.recordRun("s", makeRun("r"));
+    checker.recordRun("s", second);
+    checker.recordSuccess(now, "r", "signature of r", "row of r");
+    checkNoViolation();
+}
+
+TEST(ConsistencyChecker, DetectsRowOfAnotherRun)
+{
+    send("r", Effect::Read);
+    StatementRun second = makeRun("r");
+    second.signature = "other signature of r";
+    second.row = "other row of r";
+    checker.recordRun("s", makeRun("r"));
+    checker.recordRun("s", second);
+    checker.recordSuccess(now, "r", "signature of r", "other row of r");
+    checkViolation("MIXED");
+}
+
+// Only the last run of a write counts: an earlier one was rolled back.
+TEST(ConsistencyChecker, DetectsSignatureOfAnEarlierRunOfAWrite)
+{
+    send("w", Effect::Write);
+    StatementRun second = makeRun("w");
+    second.signature = "other signature of w";
+    checker.recordRun("s", makeRun("w"));
+    checker.recordRun("s", second);
+    checker.recordSuccess(now, "w", "signature of w", "");
+    checkViolation("MIXED");
+}
+
 TEST(ConsistencyChecker, DetectsWrongRow)
 {
     send("r", Effect::Read);
