Let two builds run side by side: announced format versions and their activation

Change: PeerFormat negotiates a version on each connection; its announcement is a leader hint without a leader, which builds without versions ignore. Peers without announcement are told apart by the update that they send in response to an empty report, and get updates in their own form. Stored state follows the active version, which FormatActivation raises by a command of the replicated log once every control VM and entry has announced it for 20 s (at once in a system that this build has founded). Before, lease holders are registered only where the table is in use already; after, the table counts as complete once leases of earlier leaders have expired.

--- a/include/daisyrelay/consensus/raftcore.h
+++ b/include/daisyrelay/consensus/raftcore.h
@@ -63,6 +63,9 @@
     /// current snapshot and already delivered.
     void compact(std::uint64_t index, std::string data);
 
+    /// Asks for a snapshot of all entries delivered so far, instead of waiting until the log has grown.
+    void requestSnapshot();
+
     [[nodiscard]] RaftRole role() const;
     [[nodiscard]] Term term() const;
     [[nodiscard]] std::optional<VmId> leader() const;
@@ -163,6 +166,7 @@
     Instant nextHeartbeatAt_ {};
     Instant leaderSince_ {};
     std::uint64_t commitIndex_ = 0;
+    bool isSnapshotRequested_ = false;
     std::uint64_t deliveredIndex_ = 0; ///< Highest index whose entry was passed to the driver.
 
     bool isPreVote_ = false; ///< Whether a candidate requests pre-votes instead of votes.
--- a/include/daisyrelay/io/raftdriver.h
+++ b/include/daisyrelay/io/raftdriver.h
@@ -17,6 +17,9 @@
         std::function<void(const LogEntry &entry)> apply; ///< Applies a committed entry to the state machine.
         std::function<Expected<void>(std::string_view bytes)> restore; ///< Restores the state machine from a snapshot.
         std::function<std::string()> snapshot; ///< Encodes the state machine as a snapshot.
+        /// Called when a received snapshot cannot be restored. The process must stop, since its state no longer follows
+        /// the log. Without a value, the driver only logs the error.
+        std::function<void(const std::string &detail)> onUnreadableSnapshot;
     };
 
     /// Restores the state from the data folder.
--- a/include/daisyrelay/supervision.h
+++ b/include/daisyrelay/supervision.h
@@ -5,6 +5,7 @@
 #include "daisyrelay/supervision/configurationupdates.h"
 #include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/failoverforecast.h"
+#include "daisyrelay/supervision/formatactivation.h"
 #include "daisyrelay/supervision/heartbeatresponder.h"
 #include "daisyrelay/supervision/leaseholdertable.h"
 #include "daisyrelay/supervision/leaseledger.h"
--- a/include/daisyrelay/supervision/leaseledger.h
+++ b/include/daisyrelay/supervision/leaseledger.h
@@ -27,13 +27,15 @@
     [[nodiscard]] FencingPolicy policy() const;
 
     /// Called when this control VM becomes the leader. Former leaders may have granted leases until \p now to each
-    /// entry of \p holders; if there is none, to entries that are unknown to this leader.
-    void reset(Instant now, const LeaseHolderTable &holders);
+    /// entry of \p holders and, unless \p areHoldersComplete, to entries that are unknown to this leader.
+    void reset(Instant now, const LeaseHolderTable &holders, bool areHoldersComplete);
 
     /// Grants or extends the lease of the run \p runId of \p entry in \p zone.
     /// \returns the durations, which the entry counts from the time at which it sent its report; zero if the policy
-    /// needs no leases.
-    LeaseDurations grant(Instant now, const VmId &entry, std::uint64_t runId, const ZoneId &zone);
+    /// needs no leases. An entry that may not tell its own zone apart counts with the longer duration for all
+    /// primaries.
+    LeaseDurations grant(
+        Instant now, const VmId &entry, std::uint64_t runId, const ZoneId &zone, bool knowsOwnZone = true);
 
     /// Records the releases in a report of the run \p runId of \p entry. A release of another withdrawal is ignored.
     /// \returns the number of ignored releases.
--- a/include/daisyrelay/supervision/supervisionstate.h
+++ b/include/daisyrelay/supervision/supervisionstate.h
@@ -35,6 +35,18 @@
 
     [[nodiscard]] const LeaseHolderTable &leaseHolders() const;
 
+    /// Returns the format version that was activated; zero if none was.
+    [[nodiscard]] FormatVersion activeFormat() const;
+
+    /// Tells whether every entry that may hold a lease is in leaseHolders().
+    [[nodiscard]] bool areLeaseHoldersComplete() const;
+
+    /// Tells whether lease holders may be registered: all control VMs apply the commands that do so.
+    [[nodiscard]] bool registersLeaseHolders() const;
+
+    /// Tells whether nothing has been recorded yet, so that no entry can use any primary.
+    [[nodiscard]] bool isEmpty() const;
+
     [[nodiscard]] const ServiceLimits *limitsOf(const ServiceId &service) const;
     [[nodiscard]] std::uint64_t topologyIndex() const;
     [[nodiscard]] Topology topology() const;
@@ -59,6 +71,8 @@
     bool applyCommand(std::uint64_t index, const RecordPrimary &command);
     bool applyCommand(std::uint64_t index, const RegisterLeaseHolder &command);
     bool applyCommand(std::uint64_t index, const RemoveLeaseHolder &command);
+    bool applyCommand(std::uint64_t index, const ActivateFormat &command);
+    bool applyCommand(std::uint64_t index, const CompleteLeaseHolders &command);
     void recordRemoved(std::uint64_t index, const BackendRecord &removed);
     void recordAddress(const BackendRecord &record);
     [[nodiscard]] const BackendRecord *findAt(const std::string &host, std::uint16_t port) const;
@@ -70,6 +84,8 @@
     std::map<ServiceId, PrimaryRecord> primaries_;
     std::map<ServiceId, PrimaryRecord> pendingPromotions_;
     LeaseHolderTable leaseHolders_;
+    FormatVersion activeFormat_ = 0;
+    bool isLeaseHolderTableComplete_ = false; ///< Set by CompleteLeaseHolders, or known when a version was activated.
     std::deque<BackendRecord> removed_; ///< Last incarnations of removed backend servers, oldest first.
     std::map<std::pair<std::string, std::uint16_t>, BackendId> idByAddress_;
     std::map<BackendId, std::uint64_t> changedAt_; ///< Log index of the last change of each backend server.
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -55,6 +55,13 @@
     Duration backendExpiry = std::chrono::seconds(30);
     /// An entry silent for longer than this is removed from the table of lease holders. Its leases expired long before.
     Duration leaseHolderExpiry = std::chrono::seconds(30);
+    /// Interval between two checks of whether all VMs support a newer format version.
+    Duration formatEvaluationInterval = std::chrono::milliseconds(100);
+    /// All VMs have supported a format version for this time before it is activated. Until then an operator can return
+    /// to the earlier build.
+    Duration formatActivationDelay = std::chrono::seconds(20);
+    /// A leader reports which VMs hold a version back only after this time, in which all have connected to it.
+    Duration formatReportDelay = std::chrono::seconds(3);
     /// Interval between two digests of the heartbeats that a control VM has answered.
     Duration digestInterval = std::chrono::seconds(1);
     /// A digest without a response is replaced by another one after this time.
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -7,6 +7,7 @@
 #include "daisyrelay/supervision/configurationwindow.h"
 #include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/entryregistry.h"
+#include "daisyrelay/supervision/formatactivation.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/leaseregistrar.h"
 #include "daisyrelay/supervision/primarymonitor.h"
@@ -37,7 +38,15 @@
     /// they are committed again, since an operator would take them for events.
     void setRestoredIndex(std::uint64_t index);
 
-    void onCommitted(Instant now, const LogEntry &entry);
+    /// Records the format versions that \p peer has announced on its latest connection; no value if it announced none.
+    void recordPeerFormat(const VmId &peer, const std::optional<FormatRange> &range);
+
+    /// Tells whether \p peer has announced the active format version, so that it may take part in consensus.
+    [[nodiscard]] bool supportsActiveFormat(const VmId &peer) const;
+
+    /// \returns an error if this build cannot read the command. The process must then stop: it would otherwise continue
+    /// with a state that differs from that of the other control VMs. All later commands are rejected, too.
+    Expected<void> onCommitted(Instant now, const LogEntry &entry);
     Expected<void> restore(std::string_view bytes);
     [[nodiscard]] std::string snapshot() const;
 
@@ -89,6 +98,11 @@
     [[nodiscard]] bool isCompleted(const ControlRequest &request) const;
     void failPendingRequests();
     void logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index);
+    /// Reacts to a command that was applied while this VM leads.
+    void onCommittedAsLeader(Instant now, const LogEntry &entry, const SupervisionCommand &command, bool hasChanged);
+    /// Decides whether the entry may get a lease with the response to its report.
+    [[nodiscard]] bool mayHoldLease(Instant now, const VmId &entry, const ZoneId &zone);
+    void proposeFormat(Instant now);
     void removeSilentBackends(Instant now);
     /// \returns whether a failover has started or ended.
     bool tickMonitors(Instant now);
@@ -121,6 +135,8 @@
     EntryRegistry entries_;
     LeaseLedger leases_;
     LeaseRegistrar leaseRegistrar_;
+    FormatActivation formats_;
+    bool hasUnreadableCommand_ = false;
     CoordinatorSlots coordinators_;
     std::uint64_t nextUpdateNumber_ = 1;
     std::map<BackendId, Instant> lastHeartbeatAt_;
--- a/include/daisyrelay/wire/clustermessages.h
+++ b/include/daisyrelay/wire/clustermessages.h
@@ -372,8 +372,29 @@
     }
 };
 
+/// Raises the format version of the stored state. From then on the mechanisms of that version are in force, and builds
+/// that do not know it take no part.
+struct ActivateFormat {
+    std::uint32_t version = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version);
+    }
+};
+
+/// Records that every entry with a lease is registered, so that later leaders wait for registered entries only.
+struct CompleteLeaseHolders {
+    template <typename Archive>
+    void serialize(Archive & /*archive*/)
+    {
+    }
+};
+
+// New commands are appended, and proposed only once a format version that contains them is active.
 using SupervisionCommand = std::variant<PutConfiguration, RecordBackend, RemoveBackend, DecidePromotion, RecordPrimary,
-    RegisterLeaseHolder, RemoveLeaseHolder>;
+    RegisterLeaseHolder, RemoveLeaseHolder, ActivateFormat, CompleteLeaseHolders>;
 
 std::string encodeClusterMessage(const ClusterMessage &message);
 
--- a/include/daisyrelay/wire/supervisionsnapshot.h
+++ b/include/daisyrelay/wire/supervisionsnapshot.h
@@ -20,25 +20,17 @@
     std::vector<BackendRecord> removed; ///< Last incarnations of removed backend servers, oldest first.
     std::vector<PrimaryRecord> pendingPromotions; ///< Decided promotions whose outcome is not recorded.
     std::vector<LeaseHolderRecord> leaseHolders; ///< Empty in snapshots of versions that did not record them.
+    std::uint32_t activeFormat = 0; ///< Zero until a version was activated.
+    bool areLeaseHoldersComplete = false;
 
     bool operator==(const SupervisionSnapshot &) const = default;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(configuration, configurationSource, topologyIndex, backends, primaries, removed, pendingPromotions);
-        if constexpr (Archive::is_loading::value) {
-            if (archive.atEnd()) {
-                return;
-            }
-        }
-        archive(leaseHolders);
-    }
 };
 
+/// Encodes \p snapshot in the oldest format version that can hold it, so that earlier builds can read it until a newer
+/// version is activated.
 std::string encodeSupervisionSnapshot(const SupervisionSnapshot &snapshot);
 
-/// \returns ErrorKind::BadRequest unless \p bytes are exactly one snapshot.
+/// \returns ErrorKind::BadRequest unless \p bytes are exactly one snapshot of a version that this build supports.
 Expected<SupervisionSnapshot> decodeSupervisionSnapshot(std::string_view bytes);
 
 } // namespace daisyrelay
--- a/lib/consensus/raftcore.cpp
+++ b/lib/consensus/raftcore.cpp
@@ -181,6 +181,12 @@
     log_.compact(index, std::move(data), options_.retainedEntries);
     encodedSnapshot_.clear();
     isSnapshotDirty_ = true;
+    isSnapshotRequested_ = false;
+}
+
+void RaftCore::requestSnapshot()
+{
+    isSnapshotRequested_ = true;
 }
 
 RaftRole RaftCore::role() const
@@ -280,7 +286,8 @@
 {
     const std::uint64_t entries = deliveredIndex_ - log_.snapshot().index;
     return !isStorageBlocked_ && !isSnapshotDirty_ && entries > 0
-        && (entries >= options_.snapshotEntryThreshold || log_.bytesAfterSnapshot() >= options_.snapshotByteThreshold);
+        && (isSnapshotRequested_ || entries >= options_.snapshotEntryThreshold
+            || log_.bytesAfterSnapshot() >= options_.snapshotByteThreshold);
 }
 
 const Member *RaftCore::findMember(const VmId &vm) const
--- a/lib/io/raftdriver.cpp
+++ b/lib/io/raftdriver.cpp
@@ -105,6 +105,10 @@
         if (const Expected<void> restored = hooks_.restore(*actions.snapshotToRestore); !restored) {
             counters_.add("consensus.snapshot_unreadable");
             spdlog::critical("failed to restore a snapshot: {}", restored.error().detail);
+            if (hooks_.onUnreadableSnapshot) {
+                hooks_.onUnreadableSnapshot(restored.error().detail);
+                return;
+            }
         }
     }
     for (const LogEntry &entry : actions.committed) {
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -36,8 +36,8 @@
     : context_(context)
     , supervisor_(context.log, context.metrics, drawRandomNumber(), {}, context.settings.fencing)
     , heartbeats_(context.metrics, drawRandomNumber())
-    , peers_(context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
-          [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); })
+    , peers_(
+          context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides, peerHooks())
     , probes_(context.io, context.platform,
           [this](const ProbeOutcome &outcome) {
               const Instant now = Clock::now();
@@ -49,6 +49,40 @@
 {
 }
 
+PeerTransport::Hooks ControlNode::peerHooks()
+{
+    PeerTransport::Hooks hooks = countingPeerHooks(context_);
+    hooks.onMessage = [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); };
+    hooks.onPeerFormat = [this](const VmId &peer, const std::optional<FormatRange> &range) {
+        supervisor_.recordPeerFormat(peer, range);
+    };
+    return hooks;
+}
+
+void ControlNode::applyCommitted(const LogEntry &entry)
+{
+    const FormatVersion formerFormat = supervisor_.state().activeFormat();
+    if (const Expected<void> applied = supervisor_.onCommitted(Clock::now(), entry); !applied) {
+        stopUnreadable(applied.error().detail);
+        return;
+    }
+    if (supervisor_.state().activeFormat() != formerFormat) {
+        // Earlier builds refuse to start from a snapshot of this version, so that none takes part with a state that it
+        // cannot read.
+        raft_->core().requestSnapshot();
+    }
+}
+
+void ControlNode::stopUnreadable(const std::string &detail)
+{
+    if (std::exchange(isStopped_, true)) {
+        return;
+    }
+    constexpr int ExitUnreadable = 1;
+    context_.log.log(Clock::now(), "node.failed", { { "error", std::string_view(detail) } });
+    context_.finishRole(ExitUnreadable);
+}
+
 RaftOptions ControlNode::raftOptions() const
 {
     RaftOptions options;
@@ -66,7 +100,8 @@
 {
     RaftDriver::Hooks hooks;
     hooks.send = [this](const RaftMessage &message) { peers_.send(message.to, message); };
-    hooks.apply = [this](const LogEntry &entry) { supervisor_.onCommitted(Clock::now(), entry); };
+    hooks.apply = [this](const LogEntry &entry) { applyCommitted(entry); };
+    hooks.onUnreadableSnapshot = [this](const std::string &detail) { stopUnreadable(detail); };
     hooks.restore = [this](std::string_view bytes) { return supervisor_.restore(bytes); };
     hooks.snapshot = [this]() { return supervisor_.snapshot(); };
     Expected<std::unique_ptr<RaftDriver>> driver
@@ -76,6 +111,7 @@
     }
     raft_ = std::move(*driver);
     supervisor_.setRestoredIndex(raft_->core().log().lastIndex());
+    supervisor_.recordPeerFormat(context_.settings.id, FormatRange {});
     if (Expected<void> listening = peers_.listen(); !listening) {
         return listening;
     }
@@ -128,7 +164,7 @@
 void ControlNode::handleControlRequest(ControlRequest request, std::function<void(ControlResult result)> onResult)
 {
     const Instant now = Clock::now();
-    if (pendingRequests_.size() >= MaxPendingRequests) {
+    if (isStopped_ || pendingRequests_.size() >= MaxPendingRequests) {
         onResult({});
         return;
     }
@@ -217,8 +253,16 @@
 void ControlNode::onPeerMessage(const VmId &from, ClusterPayload payload)
 {
     const Instant now = Clock::now();
+    if (isStopped_) {
+        return;
+    }
     if (auto *message = std::get_if<RaftMessage>(&payload); message != nullptr) {
-        if (message->from == from) {
+        if (!supervisor_.supportsActiveFormat(from)) {
+            context_.metrics.add(R"(peer_messages_refused_total{reason="format"})");
+            context_.log.log(now, "peer.refused",
+                { { "peer", std::string_view(from.value) },
+                    { "active", std::uint64_t { supervisor_.state().activeFormat() } } });
+        } else if (message->from == from) {
             raft_->core().receive(now, *message);
             runPendingActions(now);
         }
@@ -286,6 +330,9 @@
 void ControlNode::tick()
 {
     const Instant now = Clock::now();
+    if (isStopped_) {
+        return;
+    }
     heartbeatGate_.setLoopDelay(nextTickAt_ ? now - *nextTickAt_ : Duration::zero());
     raft_->core().tick(now);
     runPendingActions(now);
@@ -313,12 +360,15 @@
 
 void ControlNode::runPendingActions(Instant now)
 {
-    if (isRunningActions_) {
+    if (isRunningActions_ || isStopped_) {
         return;
     }
     isRunningActions_ = true;
     for (;;) {
         raft_->flush();
+        if (isStopped_) {
+            break;
+        }
         logMembership(now);
         supervisor_.onLeadership(now, isLeader(now), raft_->core().term(), controlVms());
         std::vector<SupervisionAction> actions = supervisor_.takeActions();
--- a/lib/runtime/controlnode.h
+++ b/lib/runtime/controlnode.h
@@ -34,6 +34,11 @@
     void handleHttpRequest(const HttpRequest &request, const HttpResponseCallback &respond);
     void handleControlRequest(ControlRequest request, std::function<void(ControlResult result)> onResult);
     void onPeerMessage(const VmId &from, ClusterPayload payload);
+    PeerTransport::Hooks peerHooks();
+    /// Applies a committed log entry, or stops this VM if it cannot be read.
+    void applyCommitted(const LogEntry &entry);
+    /// Ends the process because its state can no longer follow the log.
+    void stopUnreadable(const std::string &detail);
     void scheduleTick();
     void tick();
 
@@ -69,6 +74,7 @@
     std::uint64_t loggedMembershipIndex_ = 0;
     std::optional<VmId> loggedLeader_;
     bool isRunningActions_ = false;
+    bool isStopped_ = false; ///< The log or a snapshot could not be read; the process ends.
     std::optional<Instant> drainStartedAt_;
 };
 
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -24,18 +24,24 @@
     , callers_(context.io, context.platform, callerHooks())
     , backends_(context.io, context.platform, backendHooks())
     , peers_(
-          context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides,
-          [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); },
-          [this](const VmId &peer) {
-              core_.onEntryDisconnected(Clock::now(), peer);
-              performActions();
-          })
+          context.io, context.settings.id, context.settings.peerPort, context.settings.endpointOverrides, peerHooks())
     , timer_(context.io)
     , controlVms_(context.settings.seeds)
     , reportInterval_(InitialReportInterval)
 {
 }
 
+PeerTransport::Hooks EntryNode::peerHooks()
+{
+    PeerTransport::Hooks hooks = countingPeerHooks(context_);
+    hooks.onMessage = [this](const VmId &from, ClusterPayload payload) { onPeerMessage(from, std::move(payload)); };
+    hooks.onDisconnected = [this](const VmId &peer) {
+        core_.onEntryDisconnected(Clock::now(), peer);
+        performActions();
+    };
+    return hooks;
+}
+
 CallerSessions::Hooks EntryNode::callerHooks()
 {
     CallerSessions::Hooks hooks;
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -19,6 +19,7 @@
     void drain() override;
 
 private:
+    PeerTransport::Hooks peerHooks();
     CallerSessions::Hooks callerHooks();
     BackendConnections::Hooks backendHooks();
     void onPeerMessage(const VmId &from, ClusterPayload payload);
--- a/lib/runtime/node.cpp
+++ b/lib/runtime/node.cpp
@@ -36,7 +36,8 @@
         context_.log.log(Clock::now(), "node.start",
             { { "name", std::string_view(settings.name) }, { "address", std::string_view(settings.id.value) },
                 { "zone", std::string_view(settings.zone.value) }, { "entry", settings.isEntry },
-                { "control", settings.isControlVm }, { "founding", settings.canBootstrap } });
+                { "control", settings.isControlVm }, { "founding", settings.canBootstrap },
+                { "formats", std::string_view(formatRangeText({})) } });
         if (settings.isEntry) {
             roles_.push_back(std::make_unique<EntryNode>(context_));
         }
--- a/lib/runtime/peertransport.cpp
+++ b/lib/runtime/peertransport.cpp
@@ -11,6 +11,7 @@
 using ErrorCode = boost::system::error_code;
 
 static constexpr std::size_t LengthBytes = 4;
+static constexpr unsigned BitsPerByte = 8;
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
 /// Delay after a connection could not be accepted, for example because no descriptor is free.
 static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
@@ -27,14 +28,24 @@
     return hasPrecedence ? MaxUnsentBytesWithPrecedence : MaxUnsentBytes;
 }
 
-PeerTransport::PeerTransport(asio::io_context &context, VmId self, std::uint16_t port,
-    std::map<VmId, Endpoint> addressOverrides, MessageHandler onMessage, DisconnectHandler onDisconnected)
+static std::string frameOf(const std::string &body)
+{
+    std::string frame;
+    frame.reserve(LengthBytes + body.size());
+    constexpr unsigned LowByte = 0xff;
+    for (std::size_t index = LengthBytes; index > 0; --index) {
+        frame += static_cast<char>((body.size() >> (BitsPerByte * (index - 1))) & LowByte);
+    }
+    return frame += body;
+}
+
+PeerTransport::PeerTransport(
+    asio::io_context &context, VmId self, std::uint16_t port, std::map<VmId, Endpoint> addressOverrides, Hooks hooks)
     : context_(context)
     , self_(std::move(self))
     , port_(port)
     , addressOverrides_(std::move(addressOverrides))
-    , onMessage_(std::move(onMessage))
-    , onDisconnected_(std::move(onDisconnected))
+    , hooks_(std::move(hooks))
     , acceptor_(context)
     , acceptTimer_(context)
 {
@@ -65,14 +76,16 @@
             return;
         }
         auto stream = std::make_shared<ByteStream>(std::move(socket));
+        auto format = std::make_shared<PeerFormat>();
         ByteStream::Hooks hooks;
-        hooks.onBytes = [this, weak = std::weak_ptr(stream)](std::string_view bytes) {
+        hooks.onBytes = [this, weak = std::weak_ptr(stream), format](std::string_view bytes) {
             const std::shared_ptr<ByteStream> self = weak.lock();
-            return self ? processBytes(bytes, self, true) : bytes.size();
+            return self ? processBytes(bytes, self, format, true) : bytes.size();
         };
         hooks.onClosed = [this, closed = stream.get()](const ErrorCode &) { onAcceptedClosed(closed); };
         stream->setHooks(std::move(hooks));
         stream->start();
+        stream->write(frameOf(format->announcement(self_)));
         accept();
     });
 }
@@ -80,7 +93,7 @@
 void PeerTransport::onAcceptedClosed(const ByteStream *stream)
 {
     for (auto at = acceptedConnections_.begin(); at != acceptedConnections_.end();) {
-        const std::shared_ptr<ByteStream> accepted = at->second.lock();
+        const std::shared_ptr<ByteStream> accepted = at->second.stream.lock();
         if (accepted && accepted.get() != stream) {
             ++at;
             continue;
@@ -94,21 +107,20 @@
 void PeerTransport::notifyIfDisconnected(const VmId &peer)
 {
     const auto outgoing = outgoingConnections_.find(peer);
-    if (!onDisconnected_ || acceptedConnections_.contains(peer)
+    if (!hooks_.onDisconnected || acceptedConnections_.contains(peer)
         || (outgoing != outgoingConnections_.end() && outgoing->second.stream)) {
         return;
     }
     // A connection may break while a message is being sent, when the receiver is not prepared for the call.
-    asio::post(context_, [this, peer]() { onDisconnected_(peer); });
+    asio::post(context_, [this, peer]() { hooks_.onDisconnected(peer); });
 }
 
-std::size_t PeerTransport::processBytes(
-    std::string_view bytes, const std::shared_ptr<ByteStream> &stream, bool isAccepted)
+std::size_t PeerTransport::processBytes(std::string_view bytes, const std::shared_ptr<ByteStream> &stream,
+    const std::shared_ptr<PeerFormat> &format, bool isAccepted)
 {
     std::size_t consumedBytes = 0;
     while (bytes.size() - consumedBytes >= LengthBytes) {
         std::uint32_t bodyBytes = 0;
-        constexpr unsigned BitsPerByte = 8;
         for (std::size_t index = 0; index < LengthBytes; ++index) {
             bodyBytes = (bodyBytes << BitsPerByte) | static_cast<unsigned char>(bytes[consumedBytes + index]);
         }
@@ -119,16 +131,11 @@
         if (bytes.size() - consumedBytes - LengthBytes < bodyBytes) {
             break;
         }
-        Expected<ClusterMessage> message = decodeClusterMessage(bytes.substr(consumedBytes + LengthBytes, bodyBytes));
+        const std::string_view body = bytes.substr(consumedBytes + LengthBytes, bodyBytes);
         consumedBytes += LengthBytes + bodyBytes;
-        if (!message) {
+        if (!processMessage(body, stream, format, isAccepted)) {
             stream->close();
-            return bytes.size();
         }
-        if (isAccepted) {
-            acceptedConnections_[message->from] = stream;
-        }
-        onMessage_(message->from, std::move(message->payload));
         if (!stream->isOpen()) {
             return bytes.size();
         }
@@ -136,23 +143,51 @@
     return consumedBytes;
 }
 
-void PeerTransport::send(const VmId &to, ClusterPayload payload)
+bool PeerTransport::processMessage(std::string_view bytes, const std::shared_ptr<ByteStream> &stream,
+    const std::shared_ptr<PeerFormat> &format, bool isAccepted)
 {
-    const std::size_t maxUnsentBytes = maxUnsentBytesBefore(payload);
-    const std::string body = encodeClusterMessage({ self_, std::move(payload) });
-    std::string frame;
-    frame.reserve(LengthBytes + body.size());
-    constexpr unsigned BitsPerByte = 8;
-    constexpr unsigned LowByte = 0xff;
-    for (std::size_t index = LengthBytes; index > 0; --index) {
-        frame += static_cast<char>((body.size() >> (BitsPerByte * (index - 1))) & LowByte);
+    const bool isFirst = !format->isPeerKnown();
+    Expected<PeerFormat::Received> received = format->receive(bytes);
+    if (!received) {
+        if (hooks_.onRefused) {
+            hooks_.onRefused(received.error().detail);
+        }
+        return false;
+    }
+    if (isAccepted) {
+        acceptedConnections_[received->from] = { stream, format };
+    }
+    if (isFirst && hooks_.onPeerFormat) {
+        hooks_.onPeerFormat(received->from, format->peerRange());
     }
-    frame += body;
+    for (const std::string &message : format->takeHeldBack(self_)) {
+        stream->write(frameOf(message));
+    }
+    const bool hasSkipped = received->isUnknownKind || received->isAmbiguous || received->skippedFields > 0;
+    if (hasSkipped && hooks_.onSkipped) {
+        hooks_.onSkipped(*received);
+    }
+    if (received->payload) {
+        hooks_.onMessage(received->from, std::move(*received->payload));
+    }
+    return true;
+}
+
+void PeerTransport::sendOn(ByteStream &stream, PeerFormat &format, ClusterPayload payload)
+{
+    if (stream.unsentBytes() >= maxUnsentBytesBefore(payload)) {
+        return;
+    }
+    for (const std::string &message : format.send(self_, std::move(payload))) {
+        stream.write(frameOf(message));
+    }
+}
+
+void PeerTransport::send(const VmId &to, ClusterPayload payload)
+{
     if (const auto found = acceptedConnections_.find(to); found != acceptedConnections_.end()) {
-        if (const std::shared_ptr<ByteStream> stream = found->second.lock(); stream && stream->isOpen()) {
-            if (stream->unsentBytes() < maxUnsentBytes) {
-                stream->write(frame);
-            }
+        if (const std::shared_ptr<ByteStream> stream = found->second.stream.lock(); stream && stream->isOpen()) {
+            sendOn(*stream, *found->second.format, std::move(payload));
             return;
         }
         acceptedConnections_.erase(found);
@@ -164,18 +199,17 @@
         }
         openConnection(to, outgoing);
     }
-    if (outgoing.stream->unsentBytes() < maxUnsentBytes) {
-        outgoing.stream->write(frame);
-    }
+    sendOn(*outgoing.stream, *outgoing.format, std::move(payload));
 }
 
 void PeerTransport::openConnection(const VmId &to, OutgoingConnection &outgoing)
 {
     outgoing.stream = std::make_shared<ByteStream>(tcp::socket(context_));
+    outgoing.format = std::make_shared<PeerFormat>();
     ByteStream::Hooks hooks;
-    hooks.onBytes = [this, weak = std::weak_ptr(outgoing.stream)](std::string_view bytes) {
+    hooks.onBytes = [this, weak = std::weak_ptr(outgoing.stream), format = outgoing.format](std::string_view bytes) {
         const std::shared_ptr<ByteStream> self = weak.lock();
-        return self ? processBytes(bytes, self, false) : bytes.size();
+        return self ? processBytes(bytes, self, format, false) : bytes.size();
     };
     hooks.onConnected = [this, to]() { outgoingConnections_[to].schedule.onConnected(Clock::now()); };
     hooks.onClosed = [this, to, closedStream = outgoing.stream.get()](const ErrorCode &) {
@@ -191,6 +225,7 @@
     outgoing.stream->connect(
         addressOverride == addressOverrides_.end() ? Endpoint { to.value, port_ } : addressOverride->second,
         ConnectTimeout);
+    outgoing.stream->write(frameOf(outgoing.format->announcement(self_)));
 }
 
 void PeerTransport::reset(const VmId &to)
@@ -215,4 +250,18 @@
     }
 }
 
+PeerTransport::Hooks countingPeerHooks(NodeContext &context)
+{
+    PeerTransport::Hooks hooks;
+    hooks.onRefused = [&context](const std::string &detail) {
+        context.metrics.add(R"(peer_messages_refused_total{reason="malformed"})");
+        context.log.log(Clock::now(), "peer.malformed", { { "error", std::string_view(detail) } });
+    };
+    hooks.onSkipped = [&context](const PeerFormat::Received &received) {
+        context.metrics.add("peer_fields_skipped_total", received.skippedFields);
+        context.metrics.add("peer_messages_skipped_total", received.isUnknownKind || received.isAmbiguous ? 1 : 0);
+    };
+    return hooks;
+}
+
 } // namespace daisyrelay
--- a/lib/supervision/leaseledger.cpp
+++ b/lib/supervision/leaseledger.cpp
@@ -15,11 +15,11 @@
     return policy_;
 }
 
-void LeaseLedger::reset(Instant now, const LeaseHolderTable &holders)
+void LeaseLedger::reset(Instant now, const LeaseHolderTable &holders, bool areHoldersComplete)
 {
     leases_.clear();
     withdrawals_.clear();
-    unknownUntil_ = holders.records().empty() ? makeLease(now, 0, {}).expiresAt : now;
+    unknownUntil_ = areHoldersComplete ? now : makeLease(now, 0, {}).expiresAt;
     for (const auto &[entry, record] : holders.records()) {
         leases_[entry] = makeLease(now, 0, record.zone);
     }
@@ -31,12 +31,16 @@
     return { runId, zone, base + durations_.general, base + durations_.ownZone };
 }
 
-LeaseDurations LeaseLedger::grant(Instant now, const VmId &entry, std::uint64_t runId, const ZoneId &zone)
+LeaseDurations LeaseLedger::grant(
+    Instant now, const VmId &entry, std::uint64_t runId, const ZoneId &zone, bool knowsOwnZone)
 {
     if (policy_ == FencingPolicy::Platform) {
         return {};
     }
-    leases_[entry] = makeLease(now, runId, zone);
+    Lease &lease = leases_[entry] = makeLease(now, runId, zone);
+    if (!knowsOwnZone) {
+        lease.ownZoneExpiresAt = std::max(lease.ownZoneExpiresAt, lease.expiresAt);
+    }
     return durations_;
 }
 
--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -97,6 +97,24 @@
     return false;
 }
 
+bool SupervisionState::applyCommand(std::uint64_t /*index*/, const ActivateFormat &command)
+{
+    if (command.version <= activeFormat_) {
+        return false;
+    }
+    // Leaders of LeaseHolderFormat registered every entry before it got a lease. Without any record the table was not
+    // in use, and former leaders may have granted leases to any entry.
+    isLeaseHolderTableComplete_ = isLeaseHolderTableComplete_ || !leaseHolders_.records().empty() || isEmpty();
+    activeFormat_ = command.version;
+    return false;
+}
+
+bool SupervisionState::applyCommand(std::uint64_t /*index*/, const CompleteLeaseHolders & /*command*/)
+{
+    isLeaseHolderTableComplete_ = true;
+    return false;
+}
+
 void SupervisionState::recordRemoved(std::uint64_t index, const BackendRecord &removed)
 {
     removals_.emplace_back(index, removed.id);
@@ -185,6 +203,26 @@
     return leaseHolders_;
 }
 
+FormatVersion SupervisionState::activeFormat() const
+{
+    return activeFormat_;
+}
+
+bool SupervisionState::areLeaseHoldersComplete() const
+{
+    return activeFormat_ >= LeaseHolderFormat ? isLeaseHolderTableComplete_ : !leaseHolders_.records().empty();
+}
+
+bool SupervisionState::registersLeaseHolders() const
+{
+    return activeFormat_ >= LeaseHolderFormat || !leaseHolders_.records().empty();
+}
+
+bool SupervisionState::isEmpty() const
+{
+    return configuration_.version == 0 && topologyIndex_ == 0 && leaseHolders_.records().empty();
+}
+
 const ServiceLimits *SupervisionState::limitsOf(const ServiceId &service) const
 {
     const auto found = std::find_if(configuration_.services.begin(), configuration_.services.end(),
@@ -256,7 +294,12 @@
 
 std::string SupervisionState::encode() const
 {
-    SupervisionSnapshot snapshot { configuration_, configurationSource_, topologyIndex_, {}, {}, {}, {}, {} };
+    SupervisionSnapshot snapshot;
+    snapshot.configuration = configuration_;
+    snapshot.configurationSource = configurationSource_;
+    snapshot.topologyIndex = topologyIndex_;
+    snapshot.activeFormat = activeFormat_;
+    snapshot.areLeaseHoldersComplete = isLeaseHolderTableComplete_;
     const Topology current = topology();
     snapshot.backends = current.backends;
     snapshot.primaries = current.primaries;
@@ -292,6 +335,8 @@
         state.pendingPromotions_.emplace(promotion.service, std::move(promotion));
     }
     state.leaseHolders_.restore(snapshot->leaseHolders);
+    state.activeFormat_ = snapshot->activeFormat;
+    state.isLeaseHolderTableComplete_ = snapshot->areLeaseHoldersComplete;
     return state;
 }
 
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -12,6 +12,7 @@
     , entries_(timing)
     , leases_(fencing, timing.primaryLease)
     , leaseRegistrar_(timing, [this](SupervisionCommand command) { propose(std::move(command)); })
+    , formats_(log, metrics, timing)
     , coordinators_(log, metrics, timing)
     , nextId_(firstId)
 {
@@ -43,7 +44,8 @@
         return;
     }
     entries_.reset(now, term);
-    leases_.reset(now, state_.leaseHolders());
+    leases_.reset(now, state_.leaseHolders(), state_.areLeaseHoldersComplete());
+    formats_.reset(now, state_.isEmpty());
     leaseRegistrar_.reset(now, state_.leaseHolders());
     coordinators_.reset(now, term);
     lastHeartbeatAt_.clear();
@@ -82,62 +84,6 @@
     actions_.emplace_back(ProposeSupervision { std::move(command) });
 }
 
-void Supervisor::setRestoredIndex(std::uint64_t index)
-{
-    restoredIndex_ = index;
-}
-
-void Supervisor::onCommitted(Instant now, const LogEntry &entry)
-{
-    const Expected<SupervisionCommand> command = decodeSupervisionCommand(entry.command);
-    if (!command) {
-        metrics_.add("commands_unreadable_total");
-        log_.log(now, "command.unreadable",
-            { { "index", entry.index }, { "error", std::string_view(command.error().detail) } });
-        return;
-    }
-    const bool hasChanged = state_.apply(entry.index, *command);
-    if (hasChanged && std::holds_alternative<PutConfiguration>(*command)) {
-        configurations_.record(state_.configuration());
-    }
-    if (hasChanged && entry.index > restoredIndex_) {
-        logCommand(now, *command, entry.index);
-    } else if (entry.index == restoredIndex_) {
-        log_.log(now, "log.restored",
-            { { "index", entry.index }, { "config_version", state_.configuration().version },
-                { "backends", std::uint64_t { state_.backends().size() } } });
-    }
-    if (hasChanged && std::holds_alternative<PutConfiguration>(*command)) {
-        constexpr std::size_t MaxRecentVersions = 64;
-        recentVersions_.emplace_back(state_.configuration().version, now);
-        if (recentVersions_.size() > MaxRecentVersions) {
-            recentVersions_.pop_front();
-        }
-    }
-    if (!isLeader_) {
-        return;
-    }
-    if (const auto *decision = std::get_if<DecidePromotion>(&*command); decision != nullptr && entry.term == term_) {
-        if (const auto monitor = monitors_.find(decision->service); monitor != monitors_.end()) {
-            monitor->second.onPromotionCommitted(now, *decision, entry.index, context());
-        }
-    }
-    if (const auto *holder = std::get_if<RegisterLeaseHolder>(&*command);
-        holder != nullptr && entries_.sessions().contains(holder->entry)) {
-        // The response to the report that caused the registration was sent without a lease.
-        ReportingEntry &session = entries_.sessions().at(holder->entry);
-        session.mayHoldLease = leaseRegistrar_.recordReport(
-            session.lastReportAt, holder->entry, session.report.zone, state_.leaseHolders());
-        pushUpdate(now, holder->entry, true);
-    }
-    // With many entries, changes of backend servers wait for the next report of each.
-    const auto *record = std::get_if<RecordBackend>(&*command);
-    const bool isUrgent = record == nullptr || record->record.isDraining
-        || entries_.sessions().size() <= timing_.maxEntriesForBackendPush;
-    isPushDue_ = isPushDue_ || (hasChanged && isUrgent);
-    respondToCompleted(now);
-}
-
 // A lowered limit must be in force within LimitApplyTime of its acknowledgment. A coordinator that does not apply new
 // configurations therefore loses its authority in time to expire before that.
 bool Supervisor::hasCurrentLimits(Instant now, const EntryReport &report) const
@@ -147,28 +93,6 @@
         [&](const auto &entry) { return entry.first > report.configVersion && now - entry.second >= maxAge; });
 }
 
-void Supervisor::logCommand(Instant now, const SupervisionCommand &command, std::uint64_t index)
-{
-    if (const auto *change = std::get_if<PutConfiguration>(&command); change != nullptr) {
-        log_.log(now, "config.accepted",
-            { { "version", change->configuration.version }, { "index", index },
-                { "routes", std::uint64_t { change->configuration.routes.size() } } });
-    } else if (const auto *record = std::get_if<RecordBackend>(&command); record != nullptr) {
-        log_.log(now, "backend.recorded",
-            { { "backend", std::string_view(record->record.id.value) }, { "index", index },
-                { "service", std::string_view(record->record.service.value) },
-                { "zone", std::string_view(record->record.zone.value) }, { "draining", record->record.isDraining },
-                { "claims_primary", record->record.claimsPrimary } });
-    } else if (const auto *removal = std::get_if<RemoveBackend>(&command); removal != nullptr) {
-        log_.log(
-            now, "backend.removed", { { "backend", std::string_view(removal->backend.value) }, { "index", index } });
-    } else if (const auto *primary = std::get_if<RecordPrimary>(&command); primary != nullptr) {
-        log_.log(now, "primary.recorded",
-            { { "service", std::string_view(primary->service.value) },
-                { "backend", std::string_view(primary->backend.value) }, { "generation", index } });
-    }
-}
-
 Expected<void> Supervisor::restore(std::string_view bytes)
 {
     Expected<SupervisionState> state = SupervisionState::decode(bytes);
@@ -196,8 +120,7 @@
         metrics_.add("reports_outdated_total");
         return;
     }
-    entries_.sessions().at(entry).mayHoldLease = leases_.policy() == FencingPolicy::Leases
-        && leaseRegistrar_.recordReport(now, entry, report.zone, state_.leaseHolders());
+    entries_.sessions().at(entry).mayHoldLease = mayHoldLease(now, entry, report.zone);
     if (report.configVersion >= entries_.sessions().at(entry).configSent) {
         configurationWindow_.onConfirmed(now, entry);
     }
@@ -245,6 +168,7 @@
     }
     entries_.removeExpired(now);
     leaseRegistrar_.removeSilent(now, state_.leaseHolders());
+    proposeFormat(now);
     configurationWindow_.removeExpired(now);
     if (now - homesAssignedAt_ >= timing_.homeAssignmentInterval) {
         homesAssignedAt_ = now;
@@ -355,7 +279,9 @@
     update.withdrawn = leases_.withdrawals();
     if (isResponse) {
         if (session.mayHoldLease) {
-            update.lease = leases_.grant(now, entry, session.report.runId, session.report.zone);
+            // Other builds may use a primary of the own zone for as long as any other.
+            const bool knowsOwnZone = formats_.hasAnnounced(entry);
+            update.lease = leases_.grant(now, entry, session.report.runId, session.report.zone, knowsOwnZone);
         }
         update.quotas = entries_.grantQuotas(now, entry, state_);
         update.controlVms = controlVms_;
--- a/lib/wire/clustercodec.cpp
+++ b/lib/wire/clustercodec.cpp
@@ -1,5 +1,4 @@
 #include "daisyrelay/wire/clustermessages.h"
-#include "daisyrelay/wire/supervisionsnapshot.h"
 
 #include "daisyrelay/wire/codec.h"
 
@@ -27,14 +26,4 @@
     return decodeValue<SupervisionCommand>(bytes, MaxPeerMessageBytes);
 }
 
-std::string encodeSupervisionSnapshot(const SupervisionSnapshot &snapshot)
-{
-    return encodeValue(snapshot);
-}
-
-Expected<SupervisionSnapshot> decodeSupervisionSnapshot(std::string_view bytes)
-{
-    return decodeValue<SupervisionSnapshot>(bytes, MaxStoredValueBytes);
-}
-
 } // namespace daisyrelay
--- a/tools/daisyrelay-soak/main.cpp
+++ b/tools/daisyrelay-soak/main.cpp
@@ -16,6 +16,8 @@
 DEFINE_uint64(controls, 3, "Number of control VMs");
 DEFINE_uint64(callers, 12, "Callers");
 DEFINE_bool(fences, true, "Whether a primary loses its role at the moment another server is promoted");
+DEFINE_string(previous, "", "Path of another build of daisyrelay-node, which is replaced process by process");
+DEFINE_bool(halfway, false, "Return half of the processes to the previous build before all are replaced");
 DEFINE_string(only, "", "Inject only this kind of fault");
 
 static bool runSeed(std::uint64_t seed)
@@ -30,6 +32,8 @@
     options.folder = FLAGS_folder + "/seed-" + std::to_string(seed);
     options.platformFences = FLAGS_fences;
     options.onlyKind = FLAGS_only;
+    options.previousProgram = FLAGS_previous;
+    options.returnsHalfway = FLAGS_halfway;
     std::filesystem::remove_all(options.folder);
     std::filesystem::create_directories(options.folder);
     std::cout << "seed " << seed << '\n';
--- a/unittests/fencing/fencingsimulation.cpp
+++ b/unittests/fencing/fencingsimulation.cpp
@@ -9,18 +9,27 @@
 static const ServiceId Service { "s" };
 static constexpr Duration ElectionDelay = 500ms;
 
-FencingSimulation::FencingSimulation(bool platformFences, FencingPolicy policy, std::uint64_t seed)
+/// An activation must take place within the simulated time.
+static SupervisionTiming timing()
+{
+    SupervisionTiming timing;
+    timing.formatActivationDelay = 1s;
+    return timing;
+}
+
+FencingSimulation::FencingSimulation(bool platformFences, FencingPolicy policy, std::uint64_t seed, bool upgrades)
     : policy_(policy)
     , random_(seed)
     , platform_(
           platformFences, [this](Duration delay, std::function<void()> action) { schedule(delay, std::move(action)); },
           seed)
+    , upgrades_(upgrades)
 {
     for (const char *name : { "c0", "c1" }) {
         auto control = std::make_unique<Control>();
         control->name = name;
-        control->supervisor = std::make_unique<Supervisor>(
-            log_, metrics_, controls_.size() * 1000000 + 1, SupervisionTiming {}, policy);
+        control->supervisor
+            = std::make_unique<Supervisor>(log_, metrics_, controls_.size() * 1000000 + 1, timing(), policy);
         controls_.push_back(std::move(control));
     }
     for (const char *name : { "e0", "e1", "e2" }) {
@@ -33,7 +42,12 @@
         entry->core->onSessionOpened(now_, ReadSession, "db");
         vms_.push_back(std::move(entry));
     }
+    for (const char *name : { "c0", "c1", "e0", "e1", "e2" }) {
+        setAnnouncing(name, !upgrades);
+    }
     elect();
+    controls_.front()->supervisor->tick(now_);
+    performControlActions(*controls_.front());
     PutConfiguration change;
     change.configuration.version = 1;
     change.configuration.services.push_back({ Service, 16, 0 });
@@ -48,6 +62,39 @@
     performControlActions(*controls_.front());
 }
 
+void FencingSimulation::setAnnouncing(const std::string &name, bool isAnnouncing)
+{
+    if (isAnnouncing) {
+        announcing_.insert(name);
+    } else {
+        announcing_.erase(name);
+    }
+    for (const auto &control : controls_) {
+        control->supervisor->recordPeerFormat(
+            VmId { name }, isAnnouncing ? std::optional(FormatRange {}) : std::nullopt);
+    }
+}
+
+void FencingSimulation::replaceBuild()
+{
+    const std::vector<std::string> names { "c0", "c1", "e0", "e1", "e2" };
+    const std::string &name = names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random_)];
+    constexpr int ReturnsOneIn = 5;
+    const bool returns = std::uniform_int_distribution<int>(1, ReturnsOneIn)(random_) == 1;
+    // After the activation an earlier build does not start any more.
+    if (const bool isActive = controls_.front()->supervisor->state().activeFormat() > 0; !isActive) {
+        setAnnouncing(name, !returns);
+    }
+}
+
+bool FencingSimulation::isUpgraded() const
+{
+    return std::all_of(controls_.begin(), controls_.end(), [](const auto &control) {
+        return control->supervisor->state().activeFormat() == CurrentFormat
+            && (control->supervisor->state().areLeaseHoldersComplete());
+    });
+}
+
 const std::string &FencingSimulation::violation() const
 {
     return platform_.violation.empty() ? violation_ : platform_.violation;
@@ -83,6 +130,9 @@
         hasFaults_ = now_ >= faultsBegin && now_ < faultsEnd;
         if (now_ == faultsEnd) {
             answersLate_ = false;
+            for (const char *name : { "c0", "c1", "e0", "e1", "e2" }) {
+                setAnnouncing(name, true);
+            }
             platform_.cuts.clear();
             for (auto &[name, database] : platform_.databases) {
                 database.isUp = true;
@@ -117,6 +167,10 @@
     if (hasFaults_ && now_.time_since_epoch() % FaultInterval == Duration::zero()) {
         drawFault();
     }
+    constexpr Duration ReplacementInterval = 400ms;
+    if (upgrades_ && hasFaults_ && now_.time_since_epoch() % ReplacementInterval == Duration::zero()) {
+        replaceBuild();
+    }
     for (const auto &control : controls_) {
         if (control->isSuspended) {
             continue;
--- a/unittests/fencing/fencingsimulation.h
+++ b/unittests/fencing/fencingsimulation.h
@@ -13,8 +13,10 @@
 class FencingSimulation
 {
 public:
-    /// \p platformFences chooses the kind of databases, \p policy the way in which the product fences.
-    FencingSimulation(bool platformFences, FencingPolicy policy, std::uint64_t seed);
+    /// \p platformFences chooses the kind of databases, \p policy the way in which the product fences. If \p upgrades,
+    /// the VMs announce no format versions at first, as earlier builds, and begin to do so one after the other; some
+    /// return to the earlier build before its version is replaced.
+    FencingSimulation(bool platformFences, FencingPolicy policy, std::uint64_t seed, bool upgrades = false);
 
     /// Runs for \p duration with faults drawn from the seed, after two seconds and before five seconds without.
     void run(Duration duration);
@@ -25,6 +27,9 @@
     std::size_t confirmedReads = 0;
     std::size_t writesInLastSeconds = 0; ///< Acknowledged in the last two seconds, without faults.
 
+    /// Whether all VMs use the current format version.
+    [[nodiscard]] bool isUpgraded() const;
+
     [[nodiscard]] const FakePlatform &platform() const
     {
         return platform_;
@@ -66,6 +71,9 @@
     void deliver(Vm &to, const std::string &from, Duration delay, std::function<void()> action);
     void step();
     void drawFault();
+    /// Lets the VM \p name run the current build or an earlier one.
+    void setAnnouncing(const std::string &name, bool isAnnouncing);
+    void replaceBuild();
     void elect();
     bool isLeader(const Control &control) const;
     void applyLog(Control &control);
@@ -96,6 +104,8 @@
     std::vector<std::unique_ptr<Entry>> vms_;
     std::optional<std::size_t> leader_;
     Term term_ = 0;
+    bool upgrades_;
+    std::set<std::string> announcing_; ///< VMs that run the current build.
     bool hasFaults_ = false;
     bool answersLate_ = false;
     std::uint64_t heartbeatSequence_ = 0;
--- a/unittests/fencing/fencingtest.cpp
+++ b/unittests/fencing/fencingtest.cpp
@@ -57,3 +57,22 @@
         CHECK(simulation.writesInLastSeconds > 0);
     }
 }
+
+// VMs of an earlier build are replaced one after the other, and some return. Guards against a second primary while
+// some leaders grant leases without a registration and others wait for registered entries only.
+TEST(Fencing, LeasesHoldWhileBuildsAreReplaced)
+{
+    std::size_t promotions = 0;
+    std::size_t upgraded = 0;
+    const bool holds = rc::check([&]() {
+        FencingSimulation simulation(false, FencingPolicy::Leases, *rc::gen::arbitrary<std::uint64_t>(), true);
+        simulation.run(FaultTime);
+        promotions += simulation.platform().promotionCount;
+        upgraded += simulation.isUpgraded() ? 1 : 0;
+        RC_ASSERT(simulation.violation() == std::string());
+        RC_ASSERT(simulation.acknowledgedWrites > 0U);
+    });
+    CHECK(holds);
+    CHECK(promotions > 50);
+    CHECK(upgraded > 50);
+}
--- a/unittests/supervision/failoverforecasttest.cpp
+++ b/unittests/supervision/failoverforecasttest.cpp
@@ -31,7 +31,7 @@
 {
     const Instant now { 100s };
     LeaseLedger ledger { FencingPolicy::Leases, { 3s, 1s } };
-    ledger.reset(now - 10s, {});
+    ledger.reset(now - 10s, {}, false);
     ledger.grant(now, VmId { "e" }, 1, ZoneId { "z" });
     ledger.withdraw(now, ServiceId { "s" }, 1, ZoneId { "z" }, [](const VmId &) { return true; });
     CHECK(ledger.expiresAt(now, ServiceId { "s" }) == now + 1s + ClockDriftMargin);
--- a/unittests/supervision/leaseledgertest.cpp
+++ b/unittests/supervision/leaseledgertest.cpp
@@ -18,7 +18,7 @@
 
     void setup() override
     {
-        ledger.reset(now, {});
+        ledger.reset(now, {}, false);
         now += LeaseDuration + 1s; // No lease of a former leader is left.
     }
 
@@ -26,7 +26,7 @@
     {
         LeaseHolderTable table;
         table.restore(holders);
-        ledger.reset(now, table);
+        ledger.reset(now, table, true);
     }
 
     void withdraw(std::uint64_t id)
@@ -94,7 +94,7 @@
 
 TEST(LeaseLedger, NewLeaderWaitsForLeasesOfFormerLeaders)
 {
-    ledger.reset(now, {});
+    ledger.reset(now, {}, false);
     withdraw(1);
     CHECK(!ledger.isReleased(now + LeaseDuration, service));
     CHECK(ledger.isReleased(now + LeaseDuration + 1s, service));
@@ -103,7 +103,7 @@
 TEST(LeaseLedger, FencingPlatformNeedsNoLeases)
 {
     LeaseLedger fenced(FencingPolicy::Platform, { 3s, 1s });
-    fenced.reset(now, {});
+    fenced.reset(now, {}, false);
     CHECK(fenced.grant(now, entry, 1, zone) == LeaseDurations {});
     CHECK(fenced.isReleased(now, service));
 }
