--- a/include/daisyrelay/io/raftdriver.h
+++ b/include/daisyrelay/io/raftdriver.h
@@ -14,11 +14,12 @@
 public:
     struct Hooks {
         std::function<void(const RaftMessage &message)> send;
-        std::function<void(const LogEntry &entry)> apply; ///< Applies a committed entry to the state machine.
-        std::function<Expected<void>(std::string_view bytes)> restore; ///< Restores the state machine from a snapshot.
+        /// Applies a committed entry to the state machine. \returns false if the entry cannot be read.
+        std::function<bool(const LogEntry &entry)> apply;
+        /// Restores the state machine from a snapshot.
+        std::function<Expected<void>(std::string_view bytes)> restore;
         std::function<std::string()> snapshot; ///< Encodes the state machine as a snapshot.
-        /// Called when a received snapshot cannot be restored. The process must stop, since its state no longer follows
-        /// the log. Without a value, the driver only logs the error.
+        /// Called when a received snapshot cannot be restored.
         std::function<void(const std::string &detail)> onUnreadableSnapshot;
     };
 
@@ -32,14 +33,16 @@
     RaftCore &core();
     [[nodiscard]] const RaftCore &core() const;
 
-    /// Performs all pending actions of the core: storing, sending and applying.
-    /// \returns whether the state machine changed.
+    /// Performs all pending actions of the core: storing, sending and applying. After an entry or a snapshot that
+    /// cannot be read it does nothing any more: the state machine no longer follows the log, and a snapshot of it would
+    /// replace entries that it lacks. \returns whether the state machine changed.
     bool flush();
 
 private:
     Expected<void> restoreState(RaftOptions options);
     void persist(const RaftWrite &write);
-    void applyActions(const RaftActions &actions);
+    /// \returns false if an entry or a snapshot cannot be read.
+    bool applyActions(const RaftActions &actions);
     void logRoleChange();
 
     std::unique_ptr<PosixFileSystem> files_;
@@ -48,6 +51,7 @@
     RaftStorage storage_;
     std::unique_ptr<RaftCore> core_;
     RaftRole loggedRole_ = RaftRole::Follower;
+    bool isStopped_ = false; ///< An entry or a snapshot could not be read.
 };
 
 } // namespace daisyrelay
--- a/lib/io/raftdriver.cpp
+++ b/lib/io/raftdriver.cpp
@@ -58,7 +58,7 @@
 bool RaftDriver::flush()
 {
     bool hasApplied = false;
-    for (;;) {
+    while (!isStopped_) {
         const RaftActions actions = core_->takeActions();
         if (actions.empty()) {
             logRoleChange();
@@ -70,9 +70,10 @@
         for (const RaftMessage &message : actions.messages) {
             hooks_.send(message);
         }
-        applyActions(actions);
+        isStopped_ = !applyActions(actions);
         hasApplied = hasApplied || actions.snapshotToRestore || !actions.committed.empty();
     }
+    return hasApplied;
 }
 
 void RaftDriver::persist(const RaftWrite &write)
@@ -95,7 +96,7 @@
     }
 }
 
-void RaftDriver::applyActions(const RaftActions &actions)
+bool RaftDriver::applyActions(const RaftActions &actions)
 {
     if (actions.isRejoining) {
         counters_.add("consensus.lost_promises");
@@ -107,17 +108,20 @@
             spdlog::critical("failed to restore a snapshot: {}", restored.error().detail);
             if (hooks_.onUnreadableSnapshot) {
                 hooks_.onUnreadableSnapshot(restored.error().detail);
-                return;
             }
+            return false;
         }
     }
     for (const LogEntry &entry : actions.committed) {
-        hooks_.apply(entry);
+        if (!hooks_.apply(entry)) {
+            return false;
+        }
     }
     if (actions.snapshotIndex) {
         counters_.add("consensus.snapshots");
         core_->compact(*actions.snapshotIndex, hooks_.snapshot());
     }
+    return true;
 }
 
 void RaftDriver::logRoleChange()
--- a/lib/net/controlruntime.cpp
+++ b/lib/net/controlruntime.cpp
@@ -33,7 +33,10 @@
 {
     RaftDriver::Hooks hooks;
     hooks.send = [this](const RaftMessage &message) { send_(message.to, message); };
-    hooks.apply = [this](const LogEntry &entry) { control_.onCommitted(Clock::now(), entry); };
+    hooks.apply = [this](const LogEntry &entry) {
+        control_.onCommitted(Clock::now(), entry);
+        return true;
+    };
     hooks.restore = [this](std::string_view bytes) { return control_.restoreSnapshot(Clock::now(), bytes); };
     hooks.snapshot = [this]() { return control_.encodeSnapshot(); };
     Expected<std::unique_ptr<RaftDriver>> driver
--- a/lib/runtime/controlnode.cpp
+++ b/lib/runtime/controlnode.cpp
@@ -59,18 +59,19 @@
     return hooks;
 }
 
-void ControlNode::applyCommitted(const LogEntry &entry)
+bool ControlNode::applyCommitted(const LogEntry &entry)
 {
     const FormatVersion formerFormat = supervisor_.state().activeFormat();
     if (const Expected<void> applied = supervisor_.onCommitted(Clock::now(), entry); !applied) {
         stopUnreadable(applied.error().detail);
-        return;
+        return false;
     }
     if (supervisor_.state().activeFormat() != formerFormat) {
         // Earlier builds refuse to start from a snapshot of this version, so that none takes part with a state that it
         // cannot read.
         raft_->core().requestSnapshot();
     }
+    return true;
 }
 
 void ControlNode::stopUnreadable(const std::string &detail)
@@ -100,7 +101,7 @@
 {
     RaftDriver::Hooks hooks;
     hooks.send = [this](const RaftMessage &message) { peers_.send(message.to, message); };
-    hooks.apply = [this](const LogEntry &entry) { applyCommitted(entry); };
+    hooks.apply = [this](const LogEntry &entry) { return applyCommitted(entry); };
     hooks.onUnreadableSnapshot = [this](const std::string &detail) { stopUnreadable(detail); };
     hooks.restore = [this](std::string_view bytes) { return supervisor_.restore(bytes); };
     hooks.snapshot = [this]() { return supervisor_.snapshot(); };
--- a/lib/runtime/controlnode.h
+++ b/lib/runtime/controlnode.h
@@ -35,8 +35,8 @@
     void handleControlRequest(ControlRequest request, std::function<void(ControlResult result)> onResult);
     void onPeerMessage(const VmId &from, ClusterPayload payload);
     PeerTransport::Hooks peerHooks();
-    /// Applies a committed log entry, or stops this VM if it cannot be read.
-    void applyCommitted(const LogEntry &entry);
+    /// Applies a committed log entry. \returns false, and stops this VM, if the entry cannot be read.
+    bool applyCommitted(const LogEntry &entry);
     /// Ends the process because its state can no longer follow the log.
     void stopUnreadable(const std::string &detail);
     void scheduleTick();
