Report what ends without a response when a drain ends

Statements are cut at the end of planned stops (docs/incidents/lost-on-planned-stops.md), and nothing tells whether they were pending, written but unsent, or not read. drain.end and request.cut now log it, and drain_cut_total counts it by reason. The drain of ProxyCore moves to a file of its own; no decision changes. Draining.EndIsReportedByReason checks the counters.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -4,6 +4,7 @@
 #include "daisyrelay/admission.h"
 #include "daisyrelay/proxy/backendpool.h"
 #include "daisyrelay/proxy/configurationlease.h"
+#include "daisyrelay/proxy/drainbacklog.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
 #include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
@@ -90,6 +91,9 @@
     /// Returns whether a drain has finished.
     [[nodiscard]] bool isDrained(Instant now) const;
 
+    /// Logs and counts, by reason, what ends without a response when the process exits now.
+    void reportDrainEnd(Instant now, const DrainBacklog &backlog);
+
     /// Fills \p report with the state that control needs.
     void fillReport(Instant now, EntryReport &report) const;
 
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -55,17 +55,6 @@
     sessions_.erase(found);
 }
 
-void ProxyCore::drain(Instant now, Duration grace)
-{
-    if (!drainStartedAt_) {
-        drainStartedAt_ = now;
-        drainGrace_ = grace;
-        releasedSlots_ = coordinator_.heldSlots(now);
-        coordinator_.releaseAll(now);
-        log_.log(now, "drain.begin", { { "sessions", std::uint64_t { sessions_.size() } }, { "grace_ms", grace } });
-    }
-}
-
 bool ProxyCore::isReady(Instant now) const
 {
     // With more backend servers, control grants quotas only on request.
@@ -77,24 +66,6 @@
             || pools_.size() > MaxPoolsWithQuota);
 }
 
-bool ProxyCore::shouldCloseIdleSessions(Instant now) const
-{
-    const auto isPastNoticeTime = [this, now](const std::optional<Instant> &startedAt) {
-        return startedAt && now - *startedAt >= timing_.drainNoticeTime;
-    };
-    return isPastNoticeTime(drainStartedAt_) || (canUseFewPrimaries_ && isPastNoticeTime(isolatedSince_));
-}
-
-bool ProxyCore::isDrained(Instant now) const
-{
-    if (!drainStartedAt_) {
-        return false;
-    }
-    const Duration elapsed = now - *drainStartedAt_;
-    return elapsed >= drainGrace_ - timing_.drainCloseTime / 2
-        || (elapsed >= timing_.drainNoticeTime && sessions_.empty());
-}
-
 void ProxyCore::fillReport(Instant now, EntryReport &report) const
 {
     report.zone = zone_;
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -275,34 +275,4 @@
     }
 }
 
-void ProxyCore::closeIdleSessions(Instant now, bool includesTransactions)
-{
-    for (auto &[id, session] : sessions_) {
-        if (session.origin) {
-            continue;
-        }
-        const bool isIdle
-            = !session.pending && !session.transaction && now - session.lastActiveAt > timing_.minIdleTime;
-        if (isIdle || (includesTransactions && !session.pending)) {
-            actions_.emplace_back(CloseSession { id });
-        }
-    }
-}
-
-void ProxyCore::advanceDrain(Instant now)
-{
-    if (!drainStartedAt_ || now - *drainStartedAt_ < timing_.drainNoticeTime) {
-        return;
-    }
-    closeIdleSessions(now, now - *drainStartedAt_ > drainGrace_ - timing_.drainCloseTime);
-    if (!sessions_.empty()) {
-        return;
-    }
-    for (auto &[id, pool] : pools_) {
-        while (!pool.connections().empty()) {
-            closeConnection(now, pool, pool.connections().begin()->first, ConnectionLoss::Broken);
-        }
-    }
-}
-
 } // namespace daisyrelay
--- a/lib/runtime/bytestream.cpp
+++ b/lib/runtime/bytestream.cpp
@@ -220,4 +220,10 @@
     return !unconsumed_.empty();
 }
 
+std::size_t ByteStream::unreadBytes() const
+{
+    ErrorCode ignored;
+    return unconsumed_.size() + (isOpen_ ? socket_.available(ignored) : 0);
+}
+
 } // namespace daisyrelay
--- a/lib/runtime/bytestream.h
+++ b/lib/runtime/bytestream.h
@@ -53,6 +53,8 @@
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] std::size_t unsentBytes() const;
     [[nodiscard]] bool hasUnconsumedBytes() const;
+    /// Returns the number of bytes that have arrived and were not consumed, including those still in the socket.
+    [[nodiscard]] std::size_t unreadBytes() const;
 
 private:
     void setSocketOptions();
--- a/lib/runtime/callersessions.cpp
+++ b/lib/runtime/callersessions.cpp
@@ -97,7 +97,7 @@
         } else if (std::holds_alternative<SessionEnd>(decoded.message)) {
             const std::shared_ptr<ByteStream> stream = state.stream;
             sessions_.erase(found);
-            stream->closeAfterWrites();
+            closeAfterWrites(stream);
             hooks_.onClosed(session);
             return bytes.size();
         } else {
@@ -151,7 +151,7 @@
     std::string bytes;
     platform_.encodeRejection(bytes, code, detail);
     stream->write(bytes);
-    stream->closeAfterWrites();
+    closeAfterWrites(stream);
 }
 
 void CallerSessions::sendResponse(SessionId session, const CallerResponse &response)
@@ -181,8 +181,38 @@
     }
     const std::shared_ptr<ByteStream> stream = found->second.stream;
     sessions_.erase(found);
-    stream->closeAfterWrites();
+    closeAfterWrites(stream);
     hooks_.onClosed(session);
 }
 
+void CallerSessions::closeAfterWrites(const std::shared_ptr<ByteStream> &stream)
+{
+    stream->closeAfterWrites();
+    std::erase_if(closingStreams_, [](const std::weak_ptr<ByteStream> &closing) { return closing.expired(); });
+    if (stream->isOpen()) {
+        closingStreams_.push_back(stream);
+    }
+}
+
+CallerSessions::Backlog CallerSessions::backlog() const
+{
+    Backlog backlog;
+    const auto add = [&backlog](const ByteStream &stream) {
+        if (stream.isOpen()) {
+            ++backlog.connections;
+            backlog.unsentBytes += stream.unsentBytes();
+        }
+    };
+    for (const auto &[id, session] : sessions_) {
+        add(*session.stream);
+        backlog.unreadBytes += session.stream->unreadBytes();
+    }
+    for (const std::weak_ptr<ByteStream> &closing : closingStreams_) {
+        if (const std::shared_ptr<ByteStream> stream = closing.lock(); stream) {
+            add(*stream);
+        }
+    }
+    return backlog;
+}
+
 } // namespace daisyrelay
--- a/lib/runtime/callersessions.h
+++ b/lib/runtime/callersessions.h
@@ -6,6 +6,7 @@
 #include "bytestream.h"
 
 #include <unordered_map>
+#include <vector>
 
 namespace daisyrelay {
 
@@ -35,6 +36,14 @@
     /// Closes the session once all responses are written.
     void close(SessionId session);
 
+    /// What the connections of callers still hold.
+    struct Backlog {
+        std::size_t connections = 0; ///< Open connections, including those that close after their writes.
+        std::size_t unsentBytes = 0;
+        std::size_t unreadBytes = 0;
+    };
+    [[nodiscard]] Backlog backlog() const;
+
 private:
     struct SessionState {
         std::shared_ptr<ByteStream> stream;
@@ -47,12 +56,14 @@
     /// \returns the number of bytes consumed.
     std::size_t processBytes(SessionId session, std::string_view bytes);
     void resumeReading(SessionId session);
+    void closeAfterWrites(const std::shared_ptr<ByteStream> &stream);
 
     boost::asio::io_context &context_;
     const PlatformHooks &platform_;
     Hooks hooks_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::unordered_map<SessionId, SessionState> sessions_;
+    std::vector<std::weak_ptr<ByteStream>> closingStreams_; ///< Ended sessions whose responses are not all written.
     SessionId nextSessionId_ = 1;
 };
 
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -198,12 +198,19 @@
     context_.logSink->writePending();
     if (core_.isDrained(now)) {
         callers_.stopListening();
+        reportDrainEnd(now);
         context_.finishRole(0);
         return;
     }
     scheduleTick();
 }
 
+void EntryNode::reportDrainEnd(Instant now)
+{
+    const CallerSessions::Backlog backlog = callers_.backlog();
+    core_.reportDrainEnd(now, { backlog.connections, backlog.unsentBytes, backlog.unreadBytes, peers_.unsentBytes() });
+}
+
 void EntryNode::selectControlVm(Instant now)
 {
     // A leader responds to each report immediately.
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -28,6 +28,8 @@
     void sendToEntry(SendToEntry outgoing);
     void scheduleTick();
     void tick();
+    /// Reports what the end of the process leaves without a response.
+    void reportDrainEnd(Instant now);
     /// Sends the state of this entry to the control VM in use.
     void sendReport(Instant now);
     /// Requests the topology from another entry, which may already have the new primary while no control VM is
--- a/lib/runtime/peertransport.cpp
+++ b/lib/runtime/peertransport.cpp
@@ -250,6 +250,19 @@
     }
 }
 
+std::size_t PeerTransport::unsentBytes() const
+{
+    std::size_t unsentBytes = 0;
+    for (const auto &[vm, outgoing] : outgoingConnections_) {
+        unsentBytes += outgoing.stream ? outgoing.stream->unsentBytes() : 0;
+    }
+    for (const auto &[vm, accepted] : acceptedConnections_) {
+        const std::shared_ptr<ByteStream> stream = accepted.stream.lock();
+        unsentBytes += stream ? stream->unsentBytes() : 0;
+    }
+    return unsentBytes;
+}
+
 PeerTransport::Hooks countingPeerHooks(NodeContext &context)
 {
     PeerTransport::Hooks hooks;
--- a/lib/runtime/peertransport.h
+++ b/lib/runtime/peertransport.h
@@ -45,6 +45,8 @@
 
     void close();
 
+    [[nodiscard]] std::size_t unsentBytes() const;
+
 private:
     struct AcceptedConnection {
         std::weak_ptr<ByteStream> stream;
