Read a statement that has arrived instead of closing its session

A drain closes sessions that look idle, and closes a session right after a response. A statement that was already in the socket, or behind the first one in the buffer, was dropped, and its caller saw a connection that ends with no response. CallerSessions::close now leaves a session open while bytes of its caller are unread; the core closes it when it is idle again.

Both tests of CallerSessions about arrived statements failed before (closed sessions: 0 expected, 1 seen).

--- a/lib/runtime/bytestream.cpp
+++ b/lib/runtime/bytestream.cpp
@@ -119,6 +119,15 @@
     waitUntilReadable();
 }
 
+void ByteStream::readArrivedBytes()
+{
+    if (isOpen_ && unreadBytes() > unconsumed_.size()) {
+        readBytes();
+    } else {
+        processUnconsumedBytes();
+    }
+}
+
 void ByteStream::processUnconsumedBytes()
 {
     if (unconsumed_.empty() || !isOpen_ || !hooks_.onBytes) {
--- a/lib/runtime/bytestream.h
+++ b/lib/runtime/bytestream.h
@@ -44,6 +44,9 @@
     /// Closes the connection once all buffered bytes are written.
     void closeAfterWrites();
 
+    /// Reads what has arrived without waiting for the event loop.
+    void readArrivedBytes();
+
     /// Passes the bytes that were not consumed to onBytes again.
     void processUnconsumedBytes();
 
--- a/lib/runtime/callersessions.cpp
+++ b/lib/runtime/callersessions.cpp
@@ -180,11 +180,25 @@
         return;
     }
     const std::shared_ptr<ByteStream> stream = found->second.stream;
+    if (!found->second.isAwaitingResponse && stream->isOpen() && stream->unreadBytes() > 0) {
+        return;
+    }
     sessions_.erase(found);
     closeAfterWrites(stream);
     hooks_.onClosed(session);
 }
 
+void CallerSessions::readArrivedBytes()
+{
+    std::vector<std::shared_ptr<ByteStream>> streams;
+    for (const auto &[id, session] : sessions_) {
+        streams.push_back(session.stream);
+    }
+    for (const std::shared_ptr<ByteStream> &stream : streams) {
+        stream->readArrivedBytes();
+    }
+}
+
 void CallerSessions::closeAfterWrites(const std::shared_ptr<ByteStream> &stream)
 {
     stream->closeAfterWrites();
--- a/lib/runtime/callersessions.h
+++ b/lib/runtime/callersessions.h
@@ -33,9 +33,13 @@
     void rejectSession(SessionId session, ResponseCode code, std::string_view detail);
     /// Sends \p response and reads the next statement.
     void sendResponse(SessionId session, const CallerResponse &response);
-    /// Closes the session once all responses are written.
+    /// Closes the session once all responses are written. A session with a statement that has arrived and was not read
+    /// is not closed; its statement is read next.
     void close(SessionId session);
 
+    /// Reads what has arrived on all connections.
+    void readArrivedBytes();
+
     /// What the connections of callers still hold.
     struct Backlog {
         std::size_t connections = 0; ///< Open connections, including those that close after their writes.
--- /dev/null
+++ b/unittests/draining/callersessionstest.cpp
@@ -0,0 +1,154 @@
+// Sessions of callers on real sockets at the end of a drain.
+#include "callersessions.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// A platform whose messages are single lines: "START", then statements. Responses and greetings are lines, too.
+PlatformHooks makeLinePlatform()
+{
+    PlatformHooks platform;
+    platform.decodeCallerMessage = [](std::string_view bytes) {
+        Decoded<CallerMessage> decoded;
+        if (const std::size_t end = bytes.find('\n'); end != std::string_view::npos) {
+            decoded.consumedBytes = end + 1;
+            Statement statement;
+            statement.id = std::string(bytes.substr(0, end));
+            decoded.message = statement.id == "START" ? CallerMessage(SessionStart { "db", "" }) : statement;
+        }
+        return decoded;
+    };
+    platform.encodeGreeting = [](std::string &out) { out += "READY\n"; };
+    platform.encodeRejection = [](std::string &out, ResponseCode, std::string_view) { out += "REJECTED\n"; };
+    platform.encodeResponse = [](std::string &out, const CallerResponse &response) { out += response.detail + "\n"; };
+    return platform;
+}
+
+} // namespace
+
+TEST_GROUP(CallerSessions)
+{
+    static constexpr std::uint16_t Port = 28731;
+    asio::io_context io;
+    PlatformHooks platform = makeLinePlatform();
+    std::vector<std::string> statements;
+    std::size_t closed = 0;
+    SessionId lastSession = 0;
+    std::unique_ptr<CallerSessions> sessions;
+    tcp::socket caller { io };
+
+    void setup() override
+    {
+        CallerSessions::Hooks hooks;
+        hooks.onOpened = [this](SessionId session, const SessionStart &) {
+            lastSession = session;
+            sessions->sendGreeting(session);
+        };
+        hooks.onStatement = [this](SessionId, const Statement &statement) { statements.push_back(statement.id); };
+        hooks.onClosed = [this](SessionId) { ++closed; };
+        hooks.onMalformed = [](std::string_view) {};
+        sessions = std::make_unique<CallerSessions>(io, platform, std::move(hooks));
+        CHECK(sessions->listen({ "127.0.0.1", Port }).has_value());
+        connect();
+    }
+
+    void connect()
+    {
+        caller.open(tcp::v4());
+        caller.set_option(asio::socket_base::receive_buffer_size(4096));
+        caller.connect({ asio::ip::make_address("127.0.0.1"), Port });
+        write("START\n");
+        while (lastSession == 0) {
+            io.run_one_for(1s);
+        }
+        CHECK_EQUAL(std::string("READY\n"), read(6));
+    }
+
+    void write(std::string_view text)
+    {
+        asio::write(caller, asio::buffer(text));
+    }
+
+    std::string read(std::size_t size)
+    {
+        std::string text(size, ' ');
+        boost::system::error_code error;
+        text.resize(asio::read(caller, asio::buffer(text), error));
+        return text;
+    }
+
+    void respond(const std::string &text)
+    {
+        CallerResponse response;
+        response.detail = text;
+        sessions->sendResponse(lastSession, response);
+    }
+
+    void awaitUnreadBytes()
+    {
+        while (sessions->backlog().unreadBytes == 0) { }
+    }
+};
+
+// Guards against an idle session that is closed while its caller's next statement is in the socket.
+TEST(CallerSessions, StatementThatHasArrivedIsReadInsteadOfClosing)
+{
+    write("first\n");
+    awaitUnreadBytes();
+    sessions->close(lastSession);
+    CHECK_EQUAL(0, closed);
+    sessions->readArrivedBytes();
+    CHECK_EQUAL(1, statements.size());
+    respond("answer");
+    CHECK_EQUAL(std::string("answer\n"), read(7));
+    sessions->close(lastSession);
+    CHECK_EQUAL(1, closed);
+}
+
+// Guards against a close after a response that drops the statement sent right behind the first one.
+TEST(CallerSessions, PipelinedStatementIsProcessedBeforeTheSessionCloses)
+{
+    write("first\nsecond\n");
+    awaitUnreadBytes();
+    sessions->readArrivedBytes();
+    CHECK_EQUAL(1, statements.size());
+    respond("one");
+    sessions->close(lastSession);
+    CHECK_EQUAL(0, closed);
+    io.poll();
+    CHECK_EQUAL(2, statements.size());
+    respond("two");
+    sessions->close(lastSession);
+    CHECK_EQUAL(1, closed);
+    CHECK_EQUAL(std::string("one\ntwo\n"), read(8));
+}
+
+// Guards against a process that exits with a response in its buffer: the backlog must count it until it is written.
+TEST(CallerSessions, ResponseOfClosedSessionCountsUntilItIsWritten)
+{
+    write("first\n");
+    awaitUnreadBytes();
+    sessions->readArrivedBytes();
+    constexpr std::size_t Size = 3'000'000; // More than the buffers of both sockets hold.
+    respond(std::string(Size, 'x'));
+    sessions->close(lastSession);
+    CHECK_EQUAL(1, closed);
+    CHECK(sessions->backlog().unsentBytes > 0);
+    std::size_t received = 0;
+    while (received < Size + 1) {
+        received += read(std::min<std::size_t>(100'000, Size + 1 - received)).size();
+        io.poll();
+    }
+    CHECK_EQUAL(0, sessions->backlog().unsentBytes);
+    CHECK_EQUAL(0, sessions->backlog().connections);
+}
