End a drain only after its responses are written

The event loop was stopped in the tick in which no session was left, or at a fixed time: responses in the buffers of callers and peers ended with the process, and connections that were just accepted from the backlog were closed without an answer to their first message. The entry now stops listening first and ends when nothing is unsent or unread, at the latest shortly before the end of the grace period; statements that arrive by then are rejected, not cut.

--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -14,6 +14,8 @@
 static constexpr Duration PeerRequestInterval = std::chrono::milliseconds(300);
 static constexpr Duration ControlVmRetryInterval = std::chrono::milliseconds(150);
 static constexpr Duration SettingsReloadInterval = std::chrono::seconds(2);
+/// How long a drain waits for the first message on connections that were accepted when the listening socket was closed.
+static constexpr Duration MaxOpeningTime = std::chrono::milliseconds(100);
 
 EntryNode::EntryNode(NodeContext &context)
     : context_(context)
@@ -122,7 +124,6 @@
 
 void EntryNode::drain()
 {
-    isDraining_ = true;
     core_.drain(Clock::now(), context_.settings.shutdownGrace);
     sendReport(Clock::now());
     tick();
@@ -196,8 +197,7 @@
         sendReport(now);
     }
     context_.logSink->writePending();
-    if (core_.isDrained(now)) {
-        callers_.stopListening();
+    if (core_.isDrained(now) && hasEnded(now)) {
         reportDrainEnd(now);
         context_.finishRole(0);
         return;
@@ -205,6 +205,23 @@
     scheduleTick();
 }
 
+bool EntryNode::hasEnded(Instant now)
+{
+    if (!stoppedListeningAt_) {
+        stoppedListeningAt_ = now;
+        callers_.stopListening();
+    }
+    if (core_.mustEnd(now)) {
+        // The event loop may be late. Statements that have arrived get a response; they do not run any more.
+        callers_.readArrivedBytes();
+        performActions();
+        return true;
+    }
+    const CallerSessions::Backlog backlog = callers_.backlog();
+    const bool isIdle = backlog.connections == 0 || now - *stoppedListeningAt_ >= MaxOpeningTime;
+    return isIdle && backlog.unsentBytes == 0 && backlog.unreadBytes == 0 && peers_.unsentBytes() == 0;
+}
+
 void EntryNode::reportDrainEnd(Instant now)
 {
     const CallerSessions::Backlog backlog = callers_.backlog();
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -28,6 +28,8 @@
     void sendToEntry(SendToEntry outgoing);
     void scheduleTick();
     void tick();
+    /// Stops listening. \returns whether nothing is left to read or to send, or the time for it is over.
+    bool hasEnded(Instant now);
     /// Reports what the end of the process leaves without a response.
     void reportDrainEnd(Instant now);
     /// Sends the state of this entry to the control VM in use.
@@ -48,7 +50,7 @@
     std::unique_ptr<HttpServer> healthServer_;
     boost::asio::steady_timer timer_;
     bool isPerformingActions_ = false;
-    bool isDraining_ = false;
+    std::optional<Instant> stoppedListeningAt_; ///< Set once no session was left in a drain.
     std::vector<VmId> controlVms_;
     VmId controlVm_; ///< Control VM that receives the reports.
     bool hasLeader_ = false;
--- a/lib/runtime/node.cpp
+++ b/lib/runtime/node.cpp
@@ -129,7 +129,7 @@
         exitCode_ = code;
         context_.log.log(Clock::now(), "node.end", { { "code", std::int64_t { code } } });
         context_.logSink->writePending();
-        // Data that was written to sockets before they were closed is sent by later iterations of the loop.
+        // A role finishes only after its responses were written to the sockets, or the grace period is over.
         context_.io.stop();
     }
 
