Play losses of power at each step of the writes of a control VM

The disk of the tests loses each unsynced write and each unsynced name independently, and a killed process leaves what it had not synced.

--- a/unittests/storage/fakedisk.h
+++ b/unittests/storage/fakedisk.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
+#include <vector>
 
 namespace daisyrelay {
 
@@ -13,9 +15,14 @@
 class FakeDisk : public FileSystem
 {
 public:
+    struct UnsyncedWrite {
+        std::size_t offset = 0;
+        std::string bytes;
+    };
     struct FileContent {
         std::string bytes; ///< Current content.
         std::string syncedBytes; ///< Content that survives a crash.
+        std::vector<UnsyncedWrite> unsyncedWrites {}; ///< Writes since the last sync.
     };
     using Directory = std::map<std::string, std::shared_ptr<FileContent>>;
 
@@ -32,10 +39,67 @@
             const std::size_t size = std::min(content->bytes.size(), content->syncedBytes.size() + keptUnsyncedBytes);
             content->bytes.resize(std::max(size, content->syncedBytes.size()));
             content->syncedBytes = content->bytes;
+            content->unsyncedWrites.clear();
         }
         stepsUntilFailure.reset();
     }
 
+    /// Ends the process that uses the disk. All files stay as they are, and what was not synced stays so.
+    void kill()
+    {
+        stepsUntilFailure.reset();
+    }
+
+    /// Loses power. Each name changed since the directory was synced has its new or its former file, and each unsynced
+    /// write is present, missing or torn, all independently of each other. Sometimes everything unsynced is gone.
+    void losePower(std::mt19937_64 &random)
+    {
+        constexpr std::uint64_t Outcomes = 3;
+        const bool isAllLost = random() % Outcomes == 0;
+        Directory found = syncedFiles_;
+        for (const auto &[name, content] : files_) {
+            if (!isAllLost && random() % 2 == 0) {
+                found[name] = content;
+            }
+        }
+        std::erase_if(
+            found, [&](const auto &file) { return !isAllLost && !files_.contains(file.first) && random() % 2 == 0; });
+        files_.clear();
+        for (const auto &[name, content] : found) {
+            std::string bytes = content->syncedBytes;
+            for (const UnsyncedWrite &write : content->unsyncedWrites) {
+                const std::uint64_t outcome = isAllLost ? 0 : random() % Outcomes;
+                const std::size_t size = outcome == 1 ? random() % (write.bytes.size() + 1) : write.bytes.size();
+                if (outcome != 0 && size != 0) {
+                    bytes.resize(std::max(bytes.size(), write.offset + size));
+                    bytes.replace(write.offset, size, write.bytes, 0, size);
+                }
+            }
+            files_[name] = std::make_shared<FileContent>(FileContent { bytes, bytes });
+        }
+        syncedFiles_ = files_;
+        stepsUntilFailure.reset();
+    }
+
+    /// Returns a disk with the same files, synced or not.
+    [[nodiscard]] std::unique_ptr<FakeDisk> clone() const
+    {
+        auto duplicate = std::make_unique<FakeDisk>();
+        std::map<const FileContent *, std::shared_ptr<FileContent>> contents;
+        const auto cloneDirectory = [&contents](const Directory &from, Directory &to) {
+            for (const auto &[name, content] : from) {
+                const auto [found, isNew] = contents.try_emplace(content.get());
+                if (isNew) {
+                    found->second = std::make_shared<FileContent>(*content);
+                }
+                to[name] = found->second;
+            }
+        };
+        cloneDirectory(files_, duplicate->files_);
+        cloneDirectory(syncedFiles_, duplicate->syncedFiles_);
+        return duplicate;
+    }
+
     /// Returns a disk with the same synced files.
     [[nodiscard]] std::unique_ptr<FakeDisk> copy() const
     {
@@ -107,11 +171,13 @@
 
         Expected<void> append(std::string_view bytes) override
         {
+            content_->unsyncedWrites.push_back({ content_->bytes.size(), {} });
             for (const char byte : bytes) {
                 if (disk_.isFull || !disk_.consumeStep()) {
                     return failure();
                 }
                 content_->bytes.push_back(byte);
+                content_->unsyncedWrites.back().bytes.push_back(byte);
             }
             return {};
         }
@@ -122,6 +188,7 @@
                 return failure();
             }
             content_->syncedBytes = content_->bytes;
+            content_->unsyncedWrites.clear();
             return {};
         }
 
@@ -132,6 +199,7 @@
             }
             content_->bytes.resize(size);
             content_->syncedBytes = content_->bytes;
+            content_->unsyncedWrites.clear();
             return {};
         }
 
