Sync what a start reads before it is acted on

Cause: RaftStorage::open took everything it read for synced. After a kill between a write and its sync, the record or the renamed log was only in the page cache. The VM acknowledged it (an append response or a vote needs no further write when the entry is there already), and a loss of power then took it: the record itself, or, with a log renamed but its directory not synced, every record appended to the new log since.

Change: open syncs the log, or truncates its torn tail as before, and then the directory. A disk that refuses this at the start fails the start, as the truncation already did.

--- a/include/daisyrelay/storage/raftstorage.h
+++ b/include/daisyrelay/storage/raftstorage.h
@@ -35,8 +35,9 @@
 public:
     explicit RaftStorage(FileSystem &files);
 
-    /// Reads the stored state and removes an incomplete record from the end of the log.
-    /// \returns ErrorKind::StorageCorrupt, with file and offset, if any synced data cannot be read.
+    /// Reads the stored state, removes an incomplete record from the end of the log and makes the rest durable.
+    /// \returns ErrorKind::StorageCorrupt, with file and offset, if any synced data cannot be read, and
+    /// ErrorKind::StorageFailed if the files cannot be read or synced.
     Expected<StoredState> open();
 
     /// Writes \p write and returns after it is synced.
--- a/lib/storage/raftstorage.cpp
+++ b/lib/storage/raftstorage.cpp
@@ -122,7 +122,12 @@
     log_ = std::move(*file);
     syncedLogBytes_ = offset;
     state.tornTailBytes = bytes->size() - offset;
-    return state.tornTailBytes == 0 ? Expected<void>() : log_->truncate(offset);
+    // A process that was killed may have left records and names that it had not synced. The caller will acknowledge
+    // what it reads, so it must not be lost from here on.
+    if (Expected<void> result = state.tornTailBytes == 0 ? log_->sync() : log_->truncate(offset); !result) {
+        return result;
+    }
+    return files_.syncDirectory();
 }
 
 Expected<void> RaftStorage::write(const RaftWrite &write)
