Play the loss of two disks right after an acknowledgement

A cluster of six control VMs, three of them listed in the settings, gets random faults within what the deployment tolerates. Then a change is acknowledged, and at a random step of a random write of the next 60 ms each choice of at most two disks is lost while all other VMs lose power.

Both tests fail (test_consensus -g LostDisks, AddressSanitizer build): a VM that lost its disk knows only the VMs of its settings, and only a leader admits it. While the leader is another VM, it stays outside for good.

--- a/unittests/consensus/fakecluster.h
+++ b/unittests/consensus/fakecluster.h
@@ -36,16 +36,22 @@
     std::map<std::uint64_t, LogEntry> committed; ///< Committed commands by index.
     std::uint64_t maxCommitIndex = 0; ///< Highest commit index observed on any VM.
     std::string violation; ///< Describes the last broken invariant; empty if none was broken.
+    /// Called before each write with the VM and what it writes.
+    std::function<void(std::size_t vm, const RaftWrite &write)> beforeWrite;
 
-    explicit FakeCluster(std::size_t size, std::uint64_t seed = 1, RaftOptions initialOptions = {})
+    /// Starts \p size VMs. The first \p seeds of them, or all if it is zero, are listed in the settings.
+    explicit FakeCluster(
+        std::size_t size, std::uint64_t seed = 1, RaftOptions initialOptions = {}, std::size_t seeds = 0)
         : options(std::move(initialOptions)), random_(seed)
     {
+        vms.resize(size);
         for (std::size_t index = 0; index < size; ++index) {
-            options.controlVms.push_back(VmId { "vm" + std::to_string(index) });
+            vms[index].id = VmId { "vm" + std::to_string(index) };
+            if (seeds == 0 || index < seeds) {
+                options.controlVms.push_back(vms[index].id);
+            }
         }
-        vms.resize(size);
         for (std::size_t index = 0; index < size; ++index) {
-            vms[index].id = options.controlVms[index];
             wipeDisk(index);
         }
     }
@@ -80,6 +86,20 @@
         start(index);
     }
 
+    /// Ends the process of a VM; what it has not synced stays so.
+    void kill(std::size_t index)
+    {
+        vms[index].core.reset();
+        vms[index].disk->kill();
+    }
+
+    /// Stops a VM. Each unsynced write and name is kept or lost independently.
+    void losePower(std::size_t index)
+    {
+        vms[index].core.reset();
+        vms[index].disk->losePower(random_);
+    }
+
     /// Replaces the disk of a VM with an empty one and starts the VM.
     void wipeDisk(std::size_t index)
     {
@@ -212,6 +232,9 @@
                 return;
             }
             if (!actions.write.empty()) {
+                if (beforeWrite) {
+                    beforeWrite(index, actions.write);
+                }
                 const bool isWritten = vm.storage->write(actions.write).has_value();
                 if (vm.disk->stepsUntilFailure == 0) {
                     crash(index, random_() % 64);
