Tell a VM without data who the members are

Cause: a VM that lost its disk, or is new, sends Hello to the VMs of its settings, and only the leader admits it. While the leader is none of them (any voter can be), it stayed outside the membership: its copy was missing for good, and after two more lost disks no quorum was left.

Change: a HelloResponse to a VM without data carries the latest membership of its sender in the field for entries, and the VM sends Hello to those members too.

--- a/include/daisyrelay/consensus/raftcore.h
+++ b/include/daisyrelay/consensus/raftcore.h
@@ -129,6 +129,7 @@
     void sendHello(Instant now);
     void onHello(Instant now, const RaftMessage &message);
     void onHelloResponse(Instant now, const RaftMessage &message);
+    void recordReportedVms(const RaftMessage &message);
     void countStateConfirmations(Instant now);
     [[nodiscard]] bool canConfirmState(const RaftMessage &response) const;
     void startNewIncarnation(Instant now);
@@ -184,6 +185,7 @@
     bool isEarlyElectionScheduled_ = false; ///< Whether the first election after the start was brought forward.
     bool isStateConfirmed_ = false; ///< Whether enough voters confirmed that the disk lacks no acknowledged state.
     std::map<VmId, RaftMessage> helloResponses_;
+    std::set<VmId> reportedVms_; ///< Members that HelloResponse named; they get Hello too.
     std::map<VmId, std::uint64_t> pendingMembers_; ///< Incarnations that requested membership.
     std::map<VmId, ZoneId> zones_; ///< Availability zones of the VMs that sent Hello.
     std::map<VmId, AcknowledgedState> acknowledgedStates_;
--- a/include/daisyrelay/wire/raftmessages.h
+++ b/include/daisyrelay/wire/raftmessages.h
@@ -44,7 +44,8 @@
     /// identifies the start of the sender.
     std::uint64_t requestId = 0;
     RaftDataStatus dataStatus = RaftDataStatus::Empty; ///< Hello and HelloResponse: data that the sender holds.
-    std::vector<LogEntry> entries; ///< Append: entries after lastIndex.
+    /// Append: entries after lastIndex. HelloResponse to a VM without data: the latest membership of the sender.
+    std::vector<LogEntry> entries;
     /// InstallSnapshot: byte offset of this chunk. InstallSnapshotResponse: byte offset of the next chunk.
     std::uint64_t chunkOffset = 0;
     std::uint64_t snapshotBytes = 0; ///< InstallSnapshot: size of the whole encoded snapshot.
--- a/lib/consensus/rejoin.cpp
+++ b/lib/consensus/rejoin.cpp
@@ -34,7 +34,10 @@
     const bool isStarting = now - startedAt_ < FastHelloPhaseElectionTimeouts * options_.electionTimeout;
     nextHelloAt_ = now
         + (isStarting ? options_.heartbeatInterval : SlowHelloIntervalElectionTimeouts * options_.electionTimeout);
-    for (const VmId &vm : otherControlVms()) {
+    std::set<VmId> receivers = otherControlVms();
+    receivers.insert(reportedVms_.begin(), reportedVms_.end());
+    receivers.erase(options_.self);
+    for (const VmId &vm : receivers) {
         RaftMessage message;
         message.kind = RaftMessageKind::Hello;
         message.dataStatus = dataStatus();
@@ -69,6 +72,11 @@
     }
     const bool isKnownControlVm = member != nullptr
         || std::find(options_.controlVms.begin(), options_.controlVms.end(), message.from) != options_.controlVms.end();
+    // Only the leader admits a VM without data, and it may be none of the VMs in the settings of that VM.
+    if (message.dataStatus == RaftDataStatus::Empty && !log_.membership().members.empty()) {
+        response.entries.push_back({ log_.termAt(log_.membershipIndex()).value_or(0), log_.membershipIndex(),
+            encodeMembership(log_.membership()), LogEntryKind::Membership });
+    }
     zones_[message.from] = message.zone;
     if (message.dataStatus == RaftDataStatus::Empty && (isKnownControlVm || options_.isMembershipOpen)
         && role_ == RaftRole::Leader) {
@@ -82,6 +90,7 @@
     if (message.requestId != bootNonce_) {
         return;
     }
+    recordReportedVms(message);
     if (message.isGranted && !isStateConfirmed_) {
         startNewIncarnation(now);
         return;
@@ -90,6 +99,17 @@
     bootstrapMembership(now);
 }
 
+void RaftCore::recordReportedVms(const RaftMessage &message)
+{
+    for (const LogEntry &entry : message.entries) {
+        if (const Expected<Membership> membership = decodeMembership(entry.command); membership) {
+            for (const Member &member : membership->members) {
+                reportedVms_.insert(member.vm);
+            }
+        }
+    }
+}
+
 // Each VM may be the only one that recorded some acknowledged state, so this VM waits for all responses, but at most
 // for an election timeout. Learners count too, because a newer membership than the one in this log may have made them
 // voters.
