--- a/unittests/consensus/openmembershiptest.cpp
+++ b/unittests/consensus/openmembershiptest.cpp
@@ -117,3 +117,20 @@
     cluster.vms[leaving].core->prepareToLeave(cluster.now);
     CHECK(cluster.runUntil([&]() { return cluster.leader() && cluster.leader() != leaving; }, 2s));
 }
+
+// Guards against a learner that stays outside the membership for good after it was removed during a partition.
+TEST(OpenMembership, LearnerRemovedDuringPartitionRejoins)
+{
+    FakeCluster cluster(4, 11, openOptions(3), 3);
+    CHECK(cluster.runUntil([&]() { return isMember(cluster, 3); }));
+    cluster.run(2s);
+    CHECK(!cluster.vms[3].core->isVoter());
+    cluster.isolate(3);
+    CHECK(cluster.runUntil([&]() { return !isMember(cluster, 3); }, 60s));
+    cluster.blockedLinks.clear();
+    CHECK(cluster.runUntil([&]() { return isMember(cluster, 3); }, 10s));
+    CHECK(cluster.propose(*cluster.leader(), "after"));
+    cluster.run(1s);
+    CHECK(cluster.hasApplied(3, "after"));
+    CHECK_EQUAL(std::string(), cluster.violation);
+}
