Let a removed learner ask for admission again

Cause: a learner that was cut off for over 20 s is removed. Its own log still lists it, so it sent no Hello, and a learner sends no pre-votes, by which a removed voter is admitted. A Hello that says it has data was not taken as a request either.

Change: with an open membership, a learner without a live leader sends Hello, and the leader admits the sender of a Hello that is no member.

--- a/lib/consensus/rejoin.cpp
+++ b/lib/consensus/rejoin.cpp
@@ -28,7 +28,9 @@
     const Member *self = findMember(options_.self);
     const bool isMember = self != nullptr && self->incarnation == hardState_.incarnation;
     countStateConfirmations(now);
-    if ((isStateConfirmed_ && isMember) || now < nextHelloAt_) {
+    // A learner without a leader may have been removed. Unlike a voter it sends no pre-votes that would show so.
+    const bool mayBeRemoved = options_.isMembershipOpen && !isVoter() && !hasLiveLeader(now);
+    if ((isStateConfirmed_ && isMember && !mayBeRemoved) || now < nextHelloAt_) {
         return;
     }
     const bool isStarting = now - startedAt_ < FastHelloPhaseElectionTimeouts * options_.electionTimeout;
@@ -78,8 +80,9 @@
             encodeMembership(log_.membership()), LogEntryKind::Membership });
     }
     zones_[message.from] = message.zone;
-    if (message.dataStatus == RaftDataStatus::Empty && (isKnownControlVm || options_.isMembershipOpen)
-        && role_ == RaftRole::Leader) {
+    const bool needsAdmission
+        = message.dataStatus == RaftDataStatus::Empty || (options_.isMembershipOpen && member == nullptr);
+    if (needsAdmission && (isKnownControlVm || options_.isMembershipOpen) && role_ == RaftRole::Leader) {
         pendingMembers_[message.from] = message.incarnation;
     }
     queueMessage(std::move(response), message.from);
