Number forwarded requests from a random start

Cause: a control VM numbered the requests that it forwards to the leader from 1 after each start, and the leader's response goes to the VM, not to the connection. A response to the process before a restart could so complete a request of the new one with the same number: Done for a configuration that was never proposed, or a read answered with the body of another response. The leader keeps a request for up to 1.7 s; a restart is faster.

Change: the numbers start at random.

Evidence: found by reading; the file compiles. No test plays it: ControlNode has no fixture without processes.

--- a/lib/runtime/controlnode.h
+++ b/lib/runtime/controlnode.h
@@ -70,7 +70,8 @@
     std::map<std::uint64_t, PendingRequest> pendingRequests_;
     RequestGate heartbeatGate_;
     std::optional<Instant> nextTickAt_;
-    std::uint64_t nextRequestId_ = 1;
+    /// Starts at random: a response to a former process of this VM must not complete a request of this one.
+    std::uint64_t nextRequestId_ = drawRandomNumber();
     std::uint64_t loggedMembershipIndex_ = 0;
     std::optional<VmId> loggedLeader_;
     bool isRunningActions_ = false;
