Promote the replica that is ahead where commits wait for one, also while it drains

Callers lost acknowledged commits ("LOST") where the service has SyncReplicas. Cause: the survey ranked any staying replica before any draining one. A draining replica receives and counts toward SyncReplicas until it ends, so it may be the only one that holds the latest acknowledged commits; the promotion of another server then rolled it back.

Change: where writes wait for a replica, the received position goes first and draining servers last among equal ones.

--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace daisyrelay {
 
@@ -296,16 +297,19 @@
         return;
     }
     const BackendRecord *best = nullptr;
-    const auto rank = [this](const BackendRecord &backend) {
-        const ProbeOutcome &outcome = surveyOutcomes_.at(backend.id);
-        return std::pair(!backend.isDraining, outcome.received);
+    const bool mayHoldSoleCopy = mustPauseReplication(context);
+    const auto rank = [this, mayHoldSoleCopy](const BackendRecord &backend) {
+        const LogPoint received = surveyOutcomes_.at(backend.id).received;
+        const bool stays = !backend.isDraining;
+        return std::tuple(mayHoldSoleCopy ? received : LogPoint {}, stays, received);
     };
     for (const auto &[id, outcome] : surveyOutcomes_) {
         const BackendRecord *backend = context.state.find(id);
         if (backend == nullptr || outcome.result != ProbeResult::Responded) {
             continue;
         }
-        // Ranks draining servers last, because they would have to be replaced again.
+        // Ranks draining servers last, because they would have to be replaced again. Where writes wait for a replica,
+        // a draining one may be the only one that holds the latest of them.
         best = best == nullptr || rank(*backend) > rank(*best) ? backend : best;
     }
     if (const std::optional<BackendId> inDoubt = candidateInDoubt(now, context); inDoubt) {
--- a/unittests/supervision/supervisorfixture.h
+++ b/unittests/supervision/supervisorfixture.h
@@ -27,6 +27,7 @@
     std::set<std::string> refusing;
     std::map<std::string, LogPoint> positions;
     std::vector<ProbeKind> probeKinds;
+    std::vector<ProbeBackend> probes;
     std::string primaryName = "b0";
     bool commitsImmediately = true;
     std::uint64_t nextRequest = 1;
@@ -70,6 +71,7 @@
     void respondToProbe(const ProbeBackend &probe)
     {
         probeKinds.push_back(probe.kind);
+        probes.push_back(probe);
         const std::string &name = probe.backend.id.value;
         ProbeOutcome outcome;
         outcome.probeId = probe.probeId;
@@ -83,6 +85,7 @@
             outcome.result = ProbeResult::Responded;
             outcome.received = positions[name];
             outcome.term = positions[name].term;
+            outcome.ownTerm = positions[name].term;
         }
         supervisor.onProbe(now, outcome);
     }
