--- /dev/null
+++ b/lib/supervision/primarysurvey.cpp
@@ -0,0 +1,88 @@
+// The survey of a failover: which servers are asked, and which of them is promoted.
+#include "daisyrelay/supervision/primarymonitor.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace daisyrelay {
+
+std::vector<const BackendRecord *> PrimaryMonitor::replicas(
+    Instant now, const MonitorContext &context, const BackendId &primary) const
+{
+    std::vector<const BackendRecord *> found;
+    for (const auto &[id, backend] : context.state.backends()) {
+        const auto lastHeartbeat = context.lastHeartbeatAt.find(id);
+        const bool isAlive = lastHeartbeat != context.lastHeartbeatAt.end()
+            ? now - lastHeartbeat->second < timing_.maxBackendSilence
+            : now - createdAt_ < timing_.maxBackendSilence;
+        if (backend.service == service_ && id != primary && isAlive) {
+            found.push_back(&backend);
+        }
+    }
+    return found;
+}
+
+// If writes wait for a replica, replication is paused so that the survey does not miss a write that is acknowledged
+// while it runs.
+bool PrimaryMonitor::mustPauseReplication(const MonitorContext &context) const
+{
+    const ServiceLimits *limits = context.state.limitsOf(service_);
+    return limits != nullptr && limits->syncReplicas > 0;
+}
+
+void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const std::vector<const BackendRecord *> candidates
+        = replicas(now, context, primary == nullptr ? BackendId {} : primary->backend);
+    enterStage(now, Stage::Surveying);
+    surveyed_.clear();
+    surveyOutcomes_.clear();
+    for (const BackendRecord *backend : candidates) {
+        surveyed_.insert(backend->id);
+        probe(context, *backend, mustPauseReplication(context) ? ProbeKind::Pause : ProbeKind::Status,
+            timing_.surveyTimeout);
+    }
+}
+
+void PrimaryMonitor::finishSurvey(Instant now, const MonitorContext &context)
+{
+    if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
+        return;
+    }
+    const BackendRecord *best = nullptr;
+    const bool mayHoldSoleCopy = mustPauseReplication(context);
+    const auto rank = [this, mayHoldSoleCopy](const BackendRecord &backend) {
+        const LogPoint received = surveyOutcomes_.at(backend.id).received;
+        const bool stays = !backend.isDraining;
+        return std::tuple(mayHoldSoleCopy ? received : LogPoint {}, stays, received);
+    };
+    for (const auto &[id, outcome] : surveyOutcomes_) {
+        const BackendRecord *backend = context.state.find(id);
+        if (backend == nullptr || outcome.result != ProbeResult::Responded) {
+            continue;
+        }
+        // Ranks draining servers last, because they would have to be replaced again. Where writes wait for a replica,
+        // a draining one may be the only one that holds the latest of them.
+        best = best == nullptr || rank(*backend) > rank(*best) ? backend : best;
+    }
+    if (const std::optional<BackendId> inDoubt = candidateInDoubt(now, context); inDoubt) {
+        // Any other server could lose the role to this one at any time.
+        best = context.state.find(*inDoubt);
+    }
+    const bool haveAllResponded = std::all_of(surveyed_.begin(), surveyed_.end(), [this](const BackendId &id) {
+        const auto found = surveyOutcomes_.find(id);
+        return found != surveyOutcomes_.end() && found->second.result == ProbeResult::Responded;
+    });
+    if (best == nullptr || (mustPauseReplication(context) && !haveAllResponded)) {
+        context.log.log(now, "failover.no-candidate",
+            { { "service", std::string_view(service_.value) }, { "answered", std::uint64_t { surveyOutcomes_.size() } },
+                { "asked", std::uint64_t { surveyed_.size() } } });
+        retryAfter(now, timing_.promotionRetryDelay, context);
+        return;
+    }
+    candidate_ = best->id;
+    proposePromotion(now, context);
+}
+
+} // namespace daisyrelay
--- a/unittests/supervision/supervisorfixture.h
+++ b/unittests/supervision/supervisorfixture.h
@@ -126,9 +126,9 @@
         }
     }
 
-    void startService()
+    void startService(std::uint32_t syncReplicas = 0)
     {
-        putConfiguration(1);
+        putConfiguration(1, syncReplicas);
         for (const char *name : { "b0", "b1", "b2" }) {
             sendHeartbeat(name, 1);
         }
