Ask silent replicas before a promotion where commits wait for one

Callers lost acknowledged commits ("LOST") where the service has SyncReplicas. Cause: the survey left out servers without a heartbeat for 4.5 s. A replica that is cut off from control, but not from the primary, goes on to receive and to acknowledge commits; the promotion of another one lost those that only it held.

Change: where writes wait for a replica, every recorded server is asked, and no promotion happens before all have answered. A planned replacement waits while one is silent, so that surveys that can't succeed don't pause the replicas of a primary that still serves. A server that never returns delays a failover until its record expires (30 s).

Before the change the test failed: ReplicaWithoutHeartbeatsIsAskedBeforeAPromotion: CHECK(promotions.empty()) failed

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -89,6 +89,8 @@
     void logProbeResult(Instant now, const BackendId &backend, ProbeResult result, const MonitorContext &context);
     [[nodiscard]] std::string_view failureReason(
         Instant now, const MonitorContext &context, const PrimaryRecord &primary);
+    [[nodiscard]] bool isAlive(Instant now, const MonitorContext &context, const BackendId &backend) const;
+    /// Returns the servers that a survey asks: those that may be promoted or may hold the only copy of a commit.
     [[nodiscard]] std::vector<const BackendRecord *> replicas(
         Instant now, const MonitorContext &context, const BackendId &primary) const;
     [[nodiscard]] bool mustPauseReplication(const MonitorContext &context) const;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -230,7 +230,12 @@
     const bool isPlanned = reason == "draining";
     const bool hasStayingCandidate = std::any_of(
         candidates.begin(), candidates.end(), [](const BackendRecord *backend) { return !backend->isDraining; });
-    if (!candidateInDoubt(now, context) && (candidates.empty() || (isPlanned && !hasStayingCandidate))) {
+    // A survey that a silent server does not answer would only pause the replicas of a primary that still serves.
+    const bool mustAwaitSilent = isPlanned
+        && std::any_of(candidates.begin(), candidates.end(),
+            [&](const BackendRecord *backend) { return !isAlive(now, context, backend->id); });
+    const bool canReplace = !candidates.empty() && (!isPlanned || (hasStayingCandidate && !mustAwaitSilent));
+    if (!candidateInDoubt(now, context) && !canReplace) {
         retryAt_ = now + timing_.promotionRetryDelay;
         return;
     }
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -6,16 +6,21 @@
 
 namespace daisyrelay {
 
+bool PrimaryMonitor::isAlive(Instant now, const MonitorContext &context, const BackendId &backend) const
+{
+    const auto lastHeartbeat = context.lastHeartbeatAt.find(backend);
+    return lastHeartbeat != context.lastHeartbeatAt.end() ? now - lastHeartbeat->second < timing_.maxBackendSilence
+                                                          : now - createdAt_ < timing_.maxBackendSilence;
+}
+
 std::vector<const BackendRecord *> PrimaryMonitor::replicas(
     Instant now, const MonitorContext &context, const BackendId &primary) const
 {
     std::vector<const BackendRecord *> found;
     for (const auto &[id, backend] : context.state.backends()) {
-        const auto lastHeartbeat = context.lastHeartbeatAt.find(id);
-        const bool isAlive = lastHeartbeat != context.lastHeartbeatAt.end()
-            ? now - lastHeartbeat->second < timing_.maxBackendSilence
-            : now - createdAt_ < timing_.maxBackendSilence;
-        if (backend.service == service_ && id != primary && isAlive) {
+        // A silent server may still receive from the primary, and acknowledge commits that no other one holds.
+        const bool mustAsk = mustPauseReplication(context) || isAlive(now, context, id);
+        if (backend.service == service_ && id != primary && mustAsk) {
             found.push_back(&backend);
         }
     }
--- a/unittests/supervision/synchronousreplicationtest.cpp
+++ b/unittests/supervision/synchronousreplicationtest.cpp
@@ -32,3 +32,44 @@
     CHECK_EQUAL(1U, promotions.size());
     CHECK_EQUAL(std::string("b2"), promotions.front().backend.value);
 }
+
+// A replica that is cut off from control, but not from the primary, goes on to acknowledge commits.
+TEST(SynchronousReplication, ReplicaWithoutHeartbeatsIsAskedBeforeAPromotion)
+{
+    startService(1);
+    unresponsive.insert("b2");
+    for (std::uint64_t sequence = 2; sequence < 12; ++sequence) {
+        sendHeartbeat("b0", sequence);
+        sendHeartbeat("b1", sequence);
+        advance(500ms);
+    }
+    unresponsive.insert("b0");
+    positions["b2"] = { 1, 9 };
+    advance(1s);
+    CHECK(promotions.empty());
+    unresponsive.erase("b2");
+    advance(500ms);
+    CHECK_EQUAL(1U, promotions.size());
+    CHECK_EQUAL(std::string("b2"), promotions.front().backend.value);
+}
+
+// Nobody can replace a draining primary before the silent replica has been asked; pauses until then would only keep its
+// commits waiting.
+TEST(SynchronousReplication, PlannedReplacementAwaitsASilentReplica)
+{
+    startService(1);
+    for (std::uint64_t sequence = 2; sequence < 12; ++sequence) {
+        sendHeartbeat("b0", sequence);
+        sendHeartbeat("b1", sequence);
+        advance(500ms);
+    }
+    sendHeartbeat("b0", 12, 1, true);
+    unresponsive.insert("b2");
+    advance(1s);
+    CHECK(promotions.empty());
+    CHECK(std::find(probeKinds.begin(), probeKinds.end(), ProbeKind::Pause) == probeKinds.end());
+    unresponsive.clear();
+    sendHeartbeat("b2", 2);
+    advance(500ms);
+    CHECK_EQUAL(1U, promotions.size());
+}
