Repeat a survey whose pause the servers have ignored

Callers lost acknowledged commits ("LOST") where the service has SyncReplicas. Cause: a pause needs a term above the newest one. A new leader of control has seen no term, paused with term 1, and took the responses for final positions: the replicas went on to receive and to acknowledge commits while one of them was promoted.

Change: a response of a server whose own term isn't below the term of the pause repeats the survey with a higher term.

Before the change the test failed: SurveyWithoutEffectivePauseIsRepeated: CHECK(highest > 4) failed

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -76,6 +76,8 @@
     void stepDown(Instant now, const MonitorContext &context);
     void startSurvey(Instant now, const MonitorContext &context);
     void finishSurvey(Instant now, const MonitorContext &context);
+    /// Tells whether the servers that answered the survey receive nothing from the primary any more.
+    [[nodiscard]] bool isPauseEffective() const;
     void proposePromotion(Instant now, const MonitorContext &context);
     void awaitPrimaryRole(Instant now, const MonitorContext &context);
     /// Returns whether \p outcome of a probe shows that the promotion of the candidate has taken effect.
@@ -112,6 +114,7 @@
     std::set<BackendId> surveyed_;
     std::map<BackendId, ProbeOutcome> surveyOutcomes_;
     Term highestTerm_ = 0;
+    Term pauseTerm_ = 0; ///< Term of the pauses of the current survey.
     BackendId candidate_;
     std::uint64_t proposalId_ = 0;
     std::uint64_t token_ = 0;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -279,7 +279,7 @@
     }
     const BackendId backend = found->second;
     probes_.erase(found);
-    highestTerm_ = std::max(highestTerm_, outcome.term);
+    highestTerm_ = std::max({ highestTerm_, outcome.term, outcome.ownTerm });
     if (stage_ == Stage::Withdrawing) {
         if (outcome.result == ProbeResult::Responded && !outcome.claimsPrimary) {
             hasSteppedDown_ = true;
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -41,6 +41,7 @@
     const std::vector<const BackendRecord *> candidates
         = replicas(now, context, primary == nullptr ? BackendId {} : primary->backend);
     enterStage(now, Stage::Surveying);
+    pauseTerm_ = highestTerm_ + 1;
     surveyed_.clear();
     surveyOutcomes_.clear();
     for (const BackendRecord *backend : candidates) {
@@ -50,11 +51,22 @@
     }
 }
 
+// Servers ignore a pause of a term that they know already, and a new leader has not seen any term yet.
+bool PrimaryMonitor::isPauseEffective() const
+{
+    return std::all_of(surveyOutcomes_.begin(), surveyOutcomes_.end(),
+        [this](const auto &entry) { return entry.second.ownTerm < pauseTerm_; });
+}
+
 void PrimaryMonitor::finishSurvey(Instant now, const MonitorContext &context)
 {
     if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
         return;
     }
+    if (mustPauseReplication(context) && !isPauseEffective()) {
+        startSurvey(now, context);
+        return;
+    }
     const BackendRecord *best = nullptr;
     const bool mayHoldSoleCopy = mustPauseReplication(context);
     const auto rank = [this, mayHoldSoleCopy](const BackendRecord &backend) {
--- a/unittests/supervision/synchronousreplicationtest.cpp
+++ b/unittests/supervision/synchronousreplicationtest.cpp
@@ -73,3 +73,25 @@
     advance(500ms);
     CHECK_EQUAL(1U, promotions.size());
 }
+
+// A new leader knows no term yet. Servers ignore a pause of their own term, so that the survey would miss commits that
+// are acknowledged while it runs.
+TEST(SynchronousReplication, SurveyWithoutEffectivePauseIsRepeated)
+{
+    positions = { { "b0", { 4, 9 } }, { "b1", { 4, 9 } }, { "b2", { 4, 9 } } };
+    startService(1);
+    positions = { { "b0", { 4, 9 } }, { "b1", { 4, 9 } }, { "b2", { 4, 9 } } };
+    unresponsive.insert("b0");
+    supervisor.onLeadership(now, false, 1, {});
+    supervisor.onLeadership(now, true, 1, { VmId { "c" } });
+    advance(1s);
+    CHECK_EQUAL(1U, promotions.size());
+    for (const char *name : { "b1", "b2" }) {
+        Term highest = 0;
+        for (const ProbeBackend &probe : probes) {
+            const bool isPause = probe.kind == ProbeKind::Pause && probe.backend.id.value == name;
+            highest = isPause ? std::max(highest, probe.pauseTerm) : highest;
+        }
+        CHECK(highest > 4);
+    }
+}
