Let replicas receive again after a failover that did not happen

Where the service has SyncReplicas, callers' commits waited until their timeout although the primary was whole. Cause: a survey pauses the replicas, and only a completed promotion resumed them. After a survey without result, a rejected call or a change of the leader the primary went on with nobody to acknowledge its commits. A Resume whose response was lost wasn't repeated either.

Change: the monitor remembers which servers may be paused (a new leader: all of them) and resumes them after such an end and while the primary is confirmed, until each has answered; not while a promotion without a known outcome may still be carried out, which needs the positions of the survey to be final.

Before the change the tests failed: ReplicasReceiveAgainOnceThePrimaryIsConfirmed: CHECK(mayReceive(probes, "b2")) failed ReplicasReceiveAgainAfterASurveyWithoutResult: CHECK(mayReceive(probes, "b1")) failed NewLeaderLetsReplicasReceiveAgain: CHECK(mayReceive(probes, "b1")) failed

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -76,6 +76,8 @@
     void stepDown(Instant now, const MonitorContext &context);
     void startSurvey(Instant now, const MonitorContext &context);
     void finishSurvey(Instant now, const MonitorContext &context);
+    void resumeUnlessInDoubt(Instant now, const MonitorContext &context);
+    void resumeReplicas(Instant now, const MonitorContext &context);
     /// Tells whether the servers that answered the survey receive nothing from the primary any more.
     [[nodiscard]] bool isPauseEffective() const;
     void proposePromotion(Instant now, const MonitorContext &context);
@@ -114,6 +116,9 @@
     std::set<BackendId> surveyed_;
     std::map<BackendId, ProbeOutcome> surveyOutcomes_;
     Term highestTerm_ = 0;
+    std::set<BackendId> paused_; ///< Servers that may be paused, by this leader or by a former one.
+    std::map<std::uint64_t, BackendId> resumes_; ///< Resume probes without an outcome.
+    Instant resumedAt_ {};
     Term pauseTerm_ = 0; ///< Term of the pauses of the current survey.
     BackendId candidate_;
     std::uint64_t proposalId_ = 0;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -43,6 +43,12 @@
 void PrimaryMonitor::tick(Instant now, const MonitorContext &context)
 {
     if (!inDoubtUntil_) {
+        if (mustPauseReplication(context)) {
+            // A former leader may have paused any of them.
+            for (const BackendRecord *backend : replicas(now, context, {})) {
+                paused_.insert(backend->id);
+            }
+        }
         // A former leader may have made the call up to the moment at which this one was elected.
         const bool isPending = context.state.pendingPromotionOf(service_) != nullptr;
         inDoubtUntil_ = isPending ? createdAt_ + timing_.maxPromotionDelay : Instant {};
@@ -198,6 +204,9 @@
         // Draining servers and reports of entries must be noticed between two probes, too.
         nextTickAt_ = now + std::min(timing_.maxMonitorPause, context.probeInterval / 8);
     }
+    if (failure.empty() && !paused_.empty() && now - resumedAt_ >= timing_.probeTimeout) {
+        resumeUnlessInDoubt(now, context);
+    }
     if (failure.empty() || now < retryAt_) {
         return;
     }
@@ -273,6 +282,13 @@
 
 bool PrimaryMonitor::onProbe(Instant now, const ProbeOutcome &outcome, const MonitorContext &context)
 {
+    if (const auto resumed = resumes_.find(outcome.probeId); resumed != resumes_.end()) {
+        if (outcome.result == ProbeResult::Responded) {
+            paused_.erase(resumed->second);
+        }
+        resumes_.erase(resumed);
+        return true;
+    }
     const auto found = probes_.find(outcome.probeId);
     if (found == probes_.end()) {
         return false;
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -96,6 +96,7 @@
     case PromotionOutcome::Rejected:
     case PromotionOutcome::RateLimited:
         isCallInFlight_ = false;
+        resumeUnlessInDoubt(now, context);
         retryAfter(now, timing_.promotionRetryDelay, context);
         break;
     }
@@ -116,15 +117,10 @@
         context.log.log(now, "failover.end",
             { { "service", std::string_view(service_.value) }, { "backend", std::string_view(candidate_.value) },
                 { "took_ms", now - enteredAt_ } });
-        for (const BackendId &replicaId : surveyed_) {
-            if (const BackendRecord *other = context.state.find(replicaId);
-                other != nullptr && mustPauseReplication(context)) {
-                context.emit(ProbeBackend { context.nextId(), *other, ProbeKind::Resume, 0, timing_.surveyTimeout });
-            }
-        }
         isCallInFlight_ = false;
         context.forecast.recordPromotion(now - enteredAt_);
         context.leases.restore(service_);
+        resumeReplicas(now, context);
         enterStage(now, Stage::Monitoring);
         return;
     }
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -35,6 +35,27 @@
     return limits != nullptr && limits->syncReplicas > 0;
 }
 
+// Replicas that stay paused would keep the commits of the primary waiting. They stay so only while a promotion may
+// still be carried out, which needs the positions of the survey to be final.
+void PrimaryMonitor::resumeUnlessInDoubt(Instant now, const MonitorContext &context)
+{
+    if (now >= inDoubtUntil_.value_or(Instant {})) {
+        resumeReplicas(now, context);
+    }
+}
+
+void PrimaryMonitor::resumeReplicas(Instant now, const MonitorContext &context)
+{
+    resumedAt_ = now;
+    resumes_.clear();
+    std::erase_if(paused_, [&](const BackendId &id) { return context.state.find(id) == nullptr; });
+    for (const BackendId &id : paused_) {
+        const std::uint64_t probeId = context.nextId();
+        resumes_[probeId] = id;
+        context.emit(ProbeBackend { probeId, *context.state.find(id), ProbeKind::Resume, 0, timing_.surveyTimeout });
+    }
+}
+
 void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
 {
     const PrimaryRecord *primary = context.state.primaryOf(service_);
@@ -42,10 +63,14 @@
         = replicas(now, context, primary == nullptr ? BackendId {} : primary->backend);
     enterStage(now, Stage::Surveying);
     pauseTerm_ = highestTerm_ + 1;
+    resumes_.clear();
     surveyed_.clear();
     surveyOutcomes_.clear();
     for (const BackendRecord *backend : candidates) {
         surveyed_.insert(backend->id);
+        if (mustPauseReplication(context)) {
+            paused_.insert(backend->id);
+        }
         probe(context, *backend, mustPauseReplication(context) ? ProbeKind::Pause : ProbeKind::Status,
             timing_.surveyTimeout);
     }
@@ -95,6 +120,7 @@
         context.log.log(now, "failover.no-candidate",
             { { "service", std::string_view(service_.value) }, { "answered", std::uint64_t { surveyOutcomes_.size() } },
                 { "asked", std::uint64_t { surveyed_.size() } } });
+        resumeUnlessInDoubt(now, context);
         retryAfter(now, timing_.promotionRetryDelay, context);
         return;
     }
--- a/unittests/supervision/synchronousreplicationtest.cpp
+++ b/unittests/supervision/synchronousreplicationtest.cpp
@@ -8,6 +8,16 @@
 
 TEST_GROUP_BASE(SynchronousReplication, SupervisorFixture) {};
 
+/// Tells whether \p name was told to receive again after its last pause.
+static bool mayReceive(const std::vector<ProbeBackend> &probes, const std::string &name)
+{
+    const auto last = std::find_if(probes.rbegin(), probes.rend(), [&name](const ProbeBackend &probe) {
+        const bool changesReplication = probe.kind == ProbeKind::Pause || probe.kind == ProbeKind::Resume;
+        return changesReplication && probe.backend.id.value == name;
+    });
+    return last != probes.rend() && last->kind == ProbeKind::Resume;
+}
+
 // A draining replica receives and acknowledges until it ends. If a server that stays were promoted although it is
 // behind, the commits that only the draining one holds would be lost.
 TEST(SynchronousReplication, DrainingReplicaThatIsAheadIsPromoted)
@@ -95,3 +105,45 @@
         CHECK(highest > 4);
     }
 }
+
+// Replicas that a survey without result has paused would keep the commits of the primary waiting.
+TEST(SynchronousReplication, ReplicasReceiveAgainOnceThePrimaryIsConfirmed)
+{
+    startService(1);
+    unresponsive = { "b0", "b2" };
+    advance(1s);
+    CHECK(promotions.empty());
+    unresponsive.clear();
+    probes.clear();
+    advance(500ms);
+    CHECK(mayReceive(probes, "b2"));
+    CHECK(promotions.empty());
+}
+
+// A replica that could be asked receives again although another one could not.
+TEST(SynchronousReplication, ReplicasReceiveAgainAfterASurveyWithoutResult)
+{
+    startService(1);
+    unresponsive = { "b0", "b2" };
+    advance(1s);
+    CHECK(promotions.empty());
+    unresponsive.erase("b0");
+    advance(500ms);
+    CHECK(mayReceive(probes, "b1"));
+}
+
+// The VM that has paused the replicas may not lead any more when the primary returns.
+TEST(SynchronousReplication, NewLeaderLetsReplicasReceiveAgain)
+{
+    startService(1);
+    unresponsive = { "b0", "b2" };
+    advance(1s);
+    unresponsive.clear();
+    supervisor.onLeadership(now, false, 1, {});
+    supervisor.onLeadership(now, true, 1, { VmId { "c" } });
+    probes.clear();
+    advance(1s);
+    CHECK(mayReceive(probes, "b1"));
+    CHECK(mayReceive(probes, "b2"));
+    CHECK(promotions.empty());
+}
