Simulate promotions where commits wait for a replica

One leader of control and a service of 2 to 4 servers that acknowledges a commit once one replica has it: crashes, cuts between servers and from control, draining and restarted servers, lost probe responses, late, rejected and limited calls, changes of leader.

--- /dev/null
+++ b/unittests/supervision/replicationsimulation.h
@@ -0,0 +1,81 @@
+// A leader of control and one service whose commits wait for a replica, in simulated time and with faults. Checks that
+// each promoted server holds every acknowledged commit.
+#pragma once
+
+#include "daisyrelay/supervision.h"
+
+#include <map>
+#include <random>
+
+namespace daisyrelay {
+
+class ReplicationSimulation
+{
+public:
+    /// With \p forgetsPauses a server that restarts receives from the primary at once, even if a promotion is under
+    /// way. No survey can rule that out; without it, a server stays paused.
+    ReplicationSimulation(std::size_t servers, std::uint64_t seed, bool forgetsPauses = false);
+
+    /// Runs for \p duration with faults drawn from the seed, then for a time without.
+    void run(Duration duration);
+
+    std::string violation;
+    std::size_t promotionCount = 0;
+    std::size_t acknowledgedCommits = 0;
+    std::size_t commitsInLastSeconds = 0; ///< Acknowledged in the last two seconds, without faults.
+
+private:
+    struct Server {
+        std::string name;
+        std::int64_t startedAtMs = 1;
+        bool isUp = true;
+        bool isDraining = false;
+        bool reachesControl = true;
+        bool receives = true; ///< Whether the network passes on commits of the primary.
+        Term term = 1; ///< Of the primary that it follows or is.
+        Term pauseTerm = 0; ///< While set, no primary of a lower term is followed.
+        std::vector<std::uint64_t> log; ///< Numbers of commits.
+    };
+
+    void schedule(Duration delay, std::function<void()> action);
+    int draw(int limit);
+    bool holdsOneIn(int limit);
+    void step();
+    void replicate();
+    void restart(Server &server);
+    void sendHeartbeats();
+    void drawFault();
+    void endFaults();
+    void changeLeader();
+    void performActions();
+    void performAction(const SupervisionAction &action);
+    void respondToProbe(const ProbeBackend &probe);
+    void callPlatform(const PromoteThroughPlatform &call);
+    void promote(std::size_t index, std::uint64_t token);
+    Server *find(const BackendId &backend);
+
+    static constexpr Duration StepTime = std::chrono::milliseconds(5);
+
+    Instant now_ { std::chrono::hours(1) };
+    std::mt19937_64 random_;
+    bool forgetsPauses_;
+    EventLog log_ { [](std::string_view) {} };
+    Metrics metrics_;
+    Supervisor supervisor_ { log_, metrics_, 1 };
+    std::multimap<Instant, std::function<void()>> events_;
+    std::vector<Server> servers_;
+    std::size_t primary_ = 0;
+    Term term_ = 1;
+    std::uint64_t highestToken_ = 0;
+    std::vector<Term> commitTerms_ { 0 }; ///< Of each commit; numbers of commits begin at one.
+    std::vector<std::uint64_t> acknowledged_;
+    std::uint64_t index_ = 0;
+    Term leaderTerm_ = 1;
+    bool isLeading_ = true;
+    bool losesProbes_ = false;
+    bool answersLate_ = false;
+    std::uint64_t sequence_ = 0;
+    std::int64_t nextStart_ = 2;
+};
+
+} // namespace daisyrelay
