--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -76,6 +76,12 @@
     void stepDown(Instant now, const MonitorContext &context);
     void startSurvey(Instant now, const MonitorContext &context);
     void finishSurvey(Instant now, const MonitorContext &context);
+    /// Records a surveyed server that leads the newest term as the primary. \returns whether there is one.
+    bool adoptClaimant(Instant now, const MonitorContext &context);
+    void resumeUnlessInDoubt(Instant now, const MonitorContext &context);
+    void resumeReplicas(Instant now, const MonitorContext &context);
+    /// Tells whether the servers that answered the survey receive nothing from the primary any more.
+    [[nodiscard]] bool isPauseEffective() const;
     void proposePromotion(Instant now, const MonitorContext &context);
     void awaitPrimaryRole(Instant now, const MonitorContext &context);
     /// Returns whether \p outcome of a probe shows that the promotion of the candidate has taken effect.
@@ -89,6 +95,8 @@
     void logProbeResult(Instant now, const BackendId &backend, ProbeResult result, const MonitorContext &context);
     [[nodiscard]] std::string_view failureReason(
         Instant now, const MonitorContext &context, const PrimaryRecord &primary);
+    [[nodiscard]] bool isAlive(Instant now, const MonitorContext &context, const BackendId &backend) const;
+    /// Returns the servers that a survey asks: those that may be promoted or may hold the only copy of a commit.
     [[nodiscard]] std::vector<const BackendRecord *> replicas(
         Instant now, const MonitorContext &context, const BackendId &primary) const;
     [[nodiscard]] bool mustPauseReplication(const MonitorContext &context) const;
@@ -110,6 +118,10 @@
     std::set<BackendId> surveyed_;
     std::map<BackendId, ProbeOutcome> surveyOutcomes_;
     Term highestTerm_ = 0;
+    std::set<BackendId> paused_; ///< Servers that may be paused, by this leader or by a former one.
+    std::map<std::uint64_t, BackendId> resumes_; ///< Resume probes without an outcome.
+    Instant resumedAt_ {};
+    Term pauseTerm_ = 0; ///< Term of the pauses of the current survey.
     BackendId candidate_;
     std::uint64_t proposalId_ = 0;
     std::uint64_t token_ = 0;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -43,6 +43,12 @@
 void PrimaryMonitor::tick(Instant now, const MonitorContext &context)
 {
     if (!inDoubtUntil_) {
+        if (mustPauseReplication(context)) {
+            // A former leader may have paused any of them.
+            for (const BackendRecord *backend : replicas(now, context, {})) {
+                paused_.insert(backend->id);
+            }
+        }
         // A former leader may have made the call up to the moment at which this one was elected.
         const bool isPending = context.state.pendingPromotionOf(service_) != nullptr;
         inDoubtUntil_ = isPending ? createdAt_ + timing_.maxPromotionDelay : Instant {};
@@ -198,6 +204,9 @@
         // Draining servers and reports of entries must be noticed between two probes, too.
         nextTickAt_ = now + std::min(timing_.maxMonitorPause, context.probeInterval / 8);
     }
+    if (failure.empty() && !paused_.empty() && now - resumedAt_ >= timing_.probeTimeout) {
+        resumeUnlessInDoubt(now, context);
+    }
     if (failure.empty() || now < retryAt_) {
         return;
     }
@@ -222,30 +231,6 @@
     startFailover(now, context, failure);
 }
 
-std::vector<const BackendRecord *> PrimaryMonitor::replicas(
-    Instant now, const MonitorContext &context, const BackendId &primary) const
-{
-    std::vector<const BackendRecord *> found;
-    for (const auto &[id, backend] : context.state.backends()) {
-        const auto lastHeartbeat = context.lastHeartbeatAt.find(id);
-        const bool isAlive = lastHeartbeat != context.lastHeartbeatAt.end()
-            ? now - lastHeartbeat->second < timing_.maxBackendSilence
-            : now - createdAt_ < timing_.maxBackendSilence;
-        if (backend.service == service_ && id != primary && isAlive) {
-            found.push_back(&backend);
-        }
-    }
-    return found;
-}
-
-// If writes wait for a replica, replication is paused so that the survey does not miss a write that is acknowledged
-// while it runs.
-bool PrimaryMonitor::mustPauseReplication(const MonitorContext &context) const
-{
-    const ServiceLimits *limits = context.state.limitsOf(service_);
-    return limits != nullptr && limits->syncReplicas > 0;
-}
-
 void PrimaryMonitor::startFailover(Instant now, const MonitorContext &context, std::string_view reason)
 {
     const PrimaryRecord *primary = context.state.primaryOf(service_);
@@ -254,7 +239,12 @@
     const bool isPlanned = reason == "draining";
     const bool hasStayingCandidate = std::any_of(
         candidates.begin(), candidates.end(), [](const BackendRecord *backend) { return !backend->isDraining; });
-    if (!candidateInDoubt(now, context) && (candidates.empty() || (isPlanned && !hasStayingCandidate))) {
+    // A survey that a silent server does not answer would only pause the replicas of a primary that still serves.
+    const bool mustAwaitSilent = isPlanned
+        && std::any_of(candidates.begin(), candidates.end(),
+            [&](const BackendRecord *backend) { return !isAlive(now, context, backend->id); });
+    const bool canReplace = !candidates.empty() && (!isPlanned || (hasStayingCandidate && !mustAwaitSilent));
+    if (!candidateInDoubt(now, context) && !canReplace) {
         retryAt_ = now + timing_.promotionRetryDelay;
         return;
     }
@@ -275,58 +265,6 @@
     awaitRelease(now, context);
 }
 
-void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
-{
-    const PrimaryRecord *primary = context.state.primaryOf(service_);
-    const std::vector<const BackendRecord *> candidates
-        = replicas(now, context, primary == nullptr ? BackendId {} : primary->backend);
-    enterStage(now, Stage::Surveying);
-    surveyed_.clear();
-    surveyOutcomes_.clear();
-    for (const BackendRecord *backend : candidates) {
-        surveyed_.insert(backend->id);
-        probe(context, *backend, mustPauseReplication(context) ? ProbeKind::Pause : ProbeKind::Status,
-            timing_.surveyTimeout);
-    }
-}
-
-void PrimaryMonitor::finishSurvey(Instant now, const MonitorContext &context)
-{
-    if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
-        return;
-    }
-    const BackendRecord *best = nullptr;
-    const auto rank = [this](const BackendRecord &backend) {
-        const ProbeOutcome &outcome = surveyOutcomes_.at(backend.id);
-        return std::pair(!backend.isDraining, outcome.received);
-    };
-    for (const auto &[id, outcome] : surveyOutcomes_) {
-        const BackendRecord *backend = context.state.find(id);
-        if (backend == nullptr || outcome.result != ProbeResult::Responded) {
-            continue;
-        }
-        // Ranks draining servers last, because they would have to be replaced again.
-        best = best == nullptr || rank(*backend) > rank(*best) ? backend : best;
-    }
-    if (const std::optional<BackendId> inDoubt = candidateInDoubt(now, context); inDoubt) {
-        // Any other server could lose the role to this one at any time.
-        best = context.state.find(*inDoubt);
-    }
-    const bool haveAllResponded = std::all_of(surveyed_.begin(), surveyed_.end(), [this](const BackendId &id) {
-        const auto found = surveyOutcomes_.find(id);
-        return found != surveyOutcomes_.end() && found->second.result == ProbeResult::Responded;
-    });
-    if (best == nullptr || (mustPauseReplication(context) && !haveAllResponded)) {
-        context.log.log(now, "failover.no-candidate",
-            { { "service", std::string_view(service_.value) }, { "answered", std::uint64_t { surveyOutcomes_.size() } },
-                { "asked", std::uint64_t { surveyed_.size() } } });
-        retryAfter(now, timing_.promotionRetryDelay, context);
-        return;
-    }
-    candidate_ = best->id;
-    proposePromotion(now, context);
-}
-
 void PrimaryMonitor::logProbeResult(
     Instant now, const BackendId &backend, ProbeResult result, const MonitorContext &context)
 {
@@ -344,13 +282,20 @@
 
 bool PrimaryMonitor::onProbe(Instant now, const ProbeOutcome &outcome, const MonitorContext &context)
 {
+    if (const auto resumed = resumes_.find(outcome.probeId); resumed != resumes_.end()) {
+        if (outcome.result == ProbeResult::Responded) {
+            paused_.erase(resumed->second);
+        }
+        resumes_.erase(resumed);
+        return true;
+    }
     const auto found = probes_.find(outcome.probeId);
     if (found == probes_.end()) {
         return false;
     }
     const BackendId backend = found->second;
     probes_.erase(found);
-    highestTerm_ = std::max(highestTerm_, outcome.term);
+    highestTerm_ = std::max({ highestTerm_, outcome.term, outcome.ownTerm });
     if (stage_ == Stage::Withdrawing) {
         if (outcome.result == ProbeResult::Responded && !outcome.claimsPrimary) {
             hasSteppedDown_ = true;
