--- a/tools/daisyrelay-soak/main.cpp
+++ b/tools/daisyrelay-soak/main.cpp
@@ -14,20 +14,37 @@
 DEFINE_uint64(seconds, 20, "Duration of the faults in each run, in seconds");
 DEFINE_uint64(entries, 4, "Entries");
 DEFINE_uint64(controls, 3, "Number of control VMs");
-DEFINE_uint64(callers, 12, "Callers");
+DEFINE_uint64(callers, 0, "Callers; 0 for 12, or 48 with rolls, where drains must not end early for want of sessions");
 DEFINE_bool(fences, true, "Whether a primary loses its role at the moment another server is promoted");
 DEFINE_string(previous, "", "Path of another build of daisyrelay-node, which is replaced process by process");
 DEFINE_bool(halfway, false, "Return half of the processes to the previous build before all are replaced");
+DEFINE_string(plan, "faults",
+    "What is played: 'faults', 'rolls' (planned work only: rolling restarts of entries, reloads, configurations) or "
+    "'both'");
 DEFINE_string(only, "", "Inject only this kind of fault");
 
+static std::optional<daisyrelay::soak::SoakPlan> parsePlan(const std::string &name)
+{
+    using daisyrelay::soak::SoakPlan;
+    static const std::map<std::string, SoakPlan> Plans { { "faults", SoakPlan::Faults }, { "rolls", SoakPlan::Rolls },
+        { "both", SoakPlan::Both } };
+    const auto found = Plans.find(name);
+    return found == Plans.end() ? std::nullopt : std::optional(found->second);
+}
+
 static bool runSeed(std::uint64_t seed)
 {
     daisyrelay::soak::SoakOptions options;
     options.seed = seed;
+    options.plan = *parsePlan(FLAGS_plan);
     options.faultDuration = std::chrono::seconds(FLAGS_seconds);
     options.size.entries = FLAGS_entries;
     options.size.controls = FLAGS_controls;
-    options.size.callers = FLAGS_callers;
+    constexpr std::size_t CallersWithRolls = 48;
+    if (options.plan != daisyrelay::soak::SoakPlan::Faults) {
+        options.size.callers = CallersWithRolls;
+    }
+    options.size.callers = FLAGS_callers == 0 ? options.size.callers : FLAGS_callers;
     options.program = FLAGS_node;
     options.folder = FLAGS_folder + "/seed-" + std::to_string(seed);
     options.platformFences = FLAGS_fences;
@@ -43,6 +60,7 @@
     for (const std::string &violation : result.violations) {
         std::cout << "  BROKEN " << violation << '\n';
     }
+    std::cout << "  cuts: " << result.cuts << '\n';
     std::cout << "seed " << seed << (result.violations.empty() ? ": held" : ": BROKEN") << ", faults " << result.faults
               << ", promotions " << result.promotions << ", served " << result.succeededStatements << ", not served "
               << result.failedStatements << ", statements run " << result.runCount << std::endl;
@@ -55,8 +73,10 @@
     constexpr int ExitBadUsage = 2;
     gflags::SetUsageMessage("daisyrelay-soak --node PROGRAM --folder FOLDER [--seed N] [--runs N] [--seconds N]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_node.empty() || FLAGS_folder.empty() || FLAGS_entries == 0 || FLAGS_controls == 0) {
-        std::cerr << "daisyrelay-soak: --node and --folder are required, --entries and --controls must be above 0\n";
+    if (FLAGS_node.empty() || FLAGS_folder.empty() || FLAGS_entries == 0 || FLAGS_controls == 0
+        || !parsePlan(FLAGS_plan)) {
+        std::cerr << "daisyrelay-soak: --node and --folder are required, --entries and --controls must be above 0, "
+                     "--plan must be faults, rolls or both\n";
         return ExitBadUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
