Let slow first attempts of transactions and the soak's own delays excuse nothing else

Found while playing rolls on. It now notes every connection that ran the first statement, and all further statements must stay on one of them; before, a later statement on a connection that had begun nothing passed.

--- a/unittests/soak/consistencycheckertest.cpp
+++ b/unittests/soak/consistencycheckertest.cpp
@@ -243,6 +243,41 @@
     checkViolation("PINNED");
 }
 
+// The first attempt of a transaction's first statement may run after its retry at another server, and must not count as
+// a change of the connection. Found by soak seed 603 with rolls.
+TEST(ConsistencyChecker, FirstAttemptOfTransactionMayRunAfterItsRetry)
+{
+    sendInTransaction("t", "first", Effect::Read);
+    sendInTransaction("t", "second", Effect::Read);
+    StatementRun run = makeRun("first");
+    run.inTransaction = true;
+    run.connection = 2;
+    checker.recordRun("s", run);
+    run.connection = 1;
+    checker.recordRun("s", run);
+    run = makeRun("second");
+    run.inTransaction = true;
+    run.transactionOwner = "t";
+    run.connection = 2;
+    checker.recordRun("s", run);
+    checkNoViolation();
+}
+
+// A later statement on a connection that has begun nothing for its caller runs in another transaction.
+TEST(ConsistencyChecker, DetectsLaterStatementOnFreshConnection)
+{
+    sendInTransaction("t", "first", Effect::Read);
+    sendInTransaction("t", "second", Effect::Read);
+    StatementRun run = makeRun("first");
+    run.inTransaction = true;
+    checker.recordRun("s", run);
+    run = makeRun("second");
+    run.inTransaction = true;
+    run.connection = 2;
+    checker.recordRun("s", run);
+    checkViolation("PINNED");
+}
+
 TEST(ConsistencyChecker, DetectsTransactionThatChangesConnection)
 {
     sendInTransaction("t", "first", Effect::Read);
--- a/unittests/soak/cutresponsecheckertest.cpp
+++ b/unittests/soak/cutresponsecheckertest.cpp
@@ -215,6 +215,23 @@
     check(CutVerdict::Fault, 1500ms);
 }
 
+// Entries give up callers that read nothing for a second, which is what they see while the soak does not run.
+TEST(CutResponseChecker, HoldUpOfSoakExcusesStatementsThatWerePending)
+{
+    checker.recordHoldUp(stop, stop + 1s);
+    send(900ms);
+    checker.recordServerStart(stop + 1s, "q");
+    check(CutVerdict::Fault, 1500ms);
+}
+
+TEST(CutResponseChecker, HoldUpOfSoakExcusesNoLaterStatement)
+{
+    checker.recordHoldUp(stop, stop + 1s);
+    send(1001ms);
+    checker.recordServerStart(stop + 1100ms, "q");
+    check(CutVerdict::Violation, 1500ms);
+}
+
 // A reload must not cut responses either; it counts for statements sent until it is over.
 TEST(CutResponseChecker, CutBesideReloadIsViolation)
 {
