--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -55,46 +55,17 @@
     sessions_.erase(found);
 }
 
-void ProxyCore::drain(Instant now, Duration grace)
-{
-    if (!drainStartedAt_) {
-        drainStartedAt_ = now;
-        drainGrace_ = grace;
-        releasedSlots_ = coordinator_.heldSlots(now);
-        coordinator_.releaseAll(now);
-        log_.log(now, "drain.begin", { { "sessions", std::uint64_t { sessions_.size() } }, { "grace_ms", grace } });
-    }
-}
-
 bool ProxyCore::isReady(Instant now) const
 {
     // With more backend servers, control grants quotas only on request.
     constexpr std::size_t MaxPoolsWithQuota = 128;
-    return configuration_.version > 0 && topology_.index > 0 && !drainStartedAt_ && !isolatedSince_
+    return configuration_.version > 0 && topology_.index > 0 && !drain_ && !isolatedSince_
         && (!directory_->requiresKeys() || configurationLease_.isValid(now))
         && (!homes_.empty()
             || std::any_of(quotas_.begin(), quotas_.end(), [](const auto &quota) { return quota.second > 0; })
             || pools_.size() > MaxPoolsWithQuota);
 }
 
-bool ProxyCore::shouldCloseIdleSessions(Instant now) const
-{
-    const auto isPastNoticeTime = [this, now](const std::optional<Instant> &startedAt) {
-        return startedAt && now - *startedAt >= timing_.drainNoticeTime;
-    };
-    return isPastNoticeTime(drainStartedAt_) || (canUseFewPrimaries_ && isPastNoticeTime(isolatedSince_));
-}
-
-bool ProxyCore::isDrained(Instant now) const
-{
-    if (!drainStartedAt_) {
-        return false;
-    }
-    const Duration elapsed = now - *drainStartedAt_;
-    return elapsed >= drainGrace_ - timing_.drainCloseTime / 2
-        || (elapsed >= timing_.drainNoticeTime && sessions_.empty());
-}
-
 void ProxyCore::fillReport(Instant now, EntryReport &report) const
 {
     report.zone = zone_;
@@ -102,7 +73,7 @@
     report.needsWholeConfiguration = needsWholeConfiguration_;
     report.topologyIndex = topology_.index;
     report.homesVersion = homesVersion_;
-    report.isLeaving = drainStartedAt_.has_value();
+    report.isLeaving = drain_.has_value();
     report.released = lease_.released();
     fillCoordinatorReport(now, report.coordinators);
     for (const BackendId &id : activePools_) {
@@ -134,7 +105,7 @@
 
 bool ProxyCore::isBusy() const
 {
-    return drainStartedAt_ || !activeSessions_.empty()
+    return drain_ || !activeSessions_.empty()
         || std::any_of(activePools_.begin(), activePools_.end(),
             [this](const BackendId &id) {
                 const BackendPool *pool = findPool(id);
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -44,7 +44,7 @@
         const bool awaitsConfiguration = configuration_.version == 0 || configuration_.version < newestVersion_;
         if (!awaitsConfiguration) {
             onSessionOpened(now, opening.id, opening.database, opening.key);
-        } else if (now < opening.deadline) {
+        } else if (now < opening.deadline && canFinishBeforeDrainEnds(now, Duration::zero())) {
             openingSessions_.push_back(opening);
         } else {
             rejectSession(
@@ -211,7 +211,7 @@
 // Keeps one connection open to each server, and a recent position sample of each primary.
 void ProxyCore::refreshConnectionsAndPositions(Instant now)
 {
-    if (drainStartedAt_ && sessions_.empty()) {
+    if (drain_ && sessions_.empty()) {
         return;
     }
     for (const BackendId &id : activePools_) {
@@ -275,34 +275,4 @@
     }
 }
 
-void ProxyCore::closeIdleSessions(Instant now, bool includesTransactions)
-{
-    for (auto &[id, session] : sessions_) {
-        if (session.origin) {
-            continue;
-        }
-        const bool isIdle
-            = !session.pending && !session.transaction && now - session.lastActiveAt > timing_.minIdleTime;
-        if (isIdle || (includesTransactions && !session.pending)) {
-            actions_.emplace_back(CloseSession { id });
-        }
-    }
-}
-
-void ProxyCore::advanceDrain(Instant now)
-{
-    if (!drainStartedAt_ || now - *drainStartedAt_ < timing_.drainNoticeTime) {
-        return;
-    }
-    closeIdleSessions(now, now - *drainStartedAt_ > drainGrace_ - timing_.drainCloseTime);
-    if (!sessions_.empty()) {
-        return;
-    }
-    for (auto &[id, pool] : pools_) {
-        while (!pool.connections().empty()) {
-            closeConnection(now, pool, pool.connections().begin()->first, ConnectionLoss::Broken);
-        }
-    }
-}
-
 } // namespace daisyrelay
