--- a/unittests/soak/cutresponsecheckertest.cpp
+++ b/unittests/soak/cutresponsecheckertest.cpp
@@ -94,6 +94,7 @@
     send(1s, 1);
     checker.recordServerStart(stop + 1s, "q");
     check(CutVerdict::NoPlannedWork, 1500ms);
+    CHECK_EQUAL(1, checker.unexplained().size());
 }
 
 // The process that runs after a stop must not inherit it.
