End the session of a transaction that a home rejects

A home kept the session of another entry's transaction whose first statement it had rejected: the entry that forwarded it knows of no transaction there and never ended it. Found by review.

RejectedTransactionOfOtherEntryLeavesNoSession failed before (0 sessions expected, 1 seen). The other new tests close gaps that mutations of the drain showed: running statements, work that is accepted late, idle transactions of other entries, statements early in a drain.

--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -345,6 +345,11 @@
         message.load = makeHomeLoad(now, *pending);
     }
     actions_.emplace_back(SendToEntry { session.origin->entry, std::move(message) });
+    if (pending != nullptr && pending->role == PendingStatement::Role::First && session.transaction
+        && session.transaction->hasFailed) {
+        // The entry that forwarded the statement knows of no transaction here and would never end it.
+        session.transaction.reset();
+    }
     if (!session.transaction) {
         finishedForwardedSessions_.push_back(session.id);
     }
--- a/unittests/draining/drainingtest.cpp
+++ b/unittests/draining/drainingtest.cpp
@@ -33,6 +33,29 @@
         CHECK(service.core.isDrained(service.now));
     }
 
+    /// Sends a write of another entry's caller; \p beginsTransaction makes it the first one of a transaction.
+    void forwardWrite(std::uint64_t id, bool beginsTransaction)
+    {
+        ForwardedStatement request;
+        request.sessionId = id;
+        request.sequence = id;
+        request.route.database = "db";
+        request.route.service = ServiceId { "s" };
+        request.route.guarantee = ReadGuarantee::Primary;
+        request.route.timeout = 800ms;
+        request.route.latencyTarget = 200ms;
+        request.statement.id = "f" + std::to_string(id);
+        request.statement.type = StatementType::Write;
+        request.statement.text = "x";
+        request.needsPrimary = true;
+        request.inTransaction = beginsTransaction;
+        request.beginsTransaction = beginsTransaction;
+        request.remainingTimeout = 770ms;
+        request.maxQueueTime = 200ms;
+        service.core.onForwardedStatement(service.now, VmId { "entry" }, request);
+        service.performActions();
+    }
+
     void teardown() override
     {
         CHECK_EQUAL(std::string(), service.violation);
@@ -109,23 +132,91 @@
     service.servers["b0"].isSilent = true;
     std::uint64_t sent = 0;
     while (!service.core.isDrained(service.now)) {
-        ForwardedStatement request;
-        request.sessionId = ++sent;
-        request.sequence = sent;
-        request.route.database = "db";
-        request.route.service = ServiceId { "s" };
-        request.route.guarantee = ReadGuarantee::Primary;
-        request.route.timeout = 800ms;
-        request.route.latencyTarget = 200ms;
-        request.statement.id = "f" + std::to_string(sent);
-        request.statement.type = StatementType::Write;
-        request.statement.text = "x";
-        request.needsPrimary = true;
-        request.remainingTimeout = 770ms;
-        request.maxQueueTime = 200ms;
-        service.core.onForwardedStatement(service.now, VmId { "entry" }, request);
-        service.performActions();
+        forwardWrite(++sent, false);
         service.run(100ms);
     }
     CHECK_EQUAL(sent, responses);
 }
+
+// Guards against a running statement that keeps its whole timeout although the drain ends before.
+TEST(Draining, RunningStatementHasResponseBeforeTheEnd)
+{
+    start(10s);
+    const SessionId stuck = service.open("a");
+    const SessionId other = service.open("b");
+    service.core.drain(service.now, 6s);
+    service.run(1s);
+    service.stuckStatements.insert(service.send(stuck, StatementType::Read, "x"));
+    while (!service.core.isDrained(service.now)) {
+        if (!service.callers[other].isClosed) {
+            service.send(other, StatementType::Read, "x");
+        }
+        service.run(10ms);
+    }
+    CHECK_EQUAL(1, service.callers[stuck].responses.size());
+}
+
+// Guards against a drain that rejects statements for which there is time.
+TEST(Draining, StatementsRunWhileThereIsTime)
+{
+    start();
+    const SessionId session = service.open("a");
+    service.core.drain(service.now, 6s);
+    service.run(1s);
+    service.send(session, StatementType::Write, "x");
+    CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
+    service.run(3s);
+    const SessionId late = service.open("b");
+    service.send(late, StatementType::Write, "x");
+    CHECK(service.awaitResponse(late).code == ResponseCode::Ok);
+}
+
+// Guards against work that is accepted although the drain ends before it can finish.
+TEST(Draining, NewWorkIsRejectedWhereNoTimeIsLeft)
+{
+    start();
+    service.core.drain(service.now, 6s);
+    service.run(4700ms);
+    const SessionId session = service.open("a");
+    CHECK(service.callers[session].isAccepted);
+    service.send(session, StatementType::Begin);
+    const CallerResponse response = service.awaitResponse(session);
+    CHECK(response.code == ResponseCode::Busy);
+    CHECK(response.state == TransactionState::Idle);
+    service.run(300ms);
+    CHECK(service.callers[service.open("b")].isRejected);
+}
+
+// Guards against a session that waits for a configuration when the process ends.
+TEST(Draining, SessionIsRejectedWithoutConfiguration)
+{
+    service.core.drain(service.now, 6s);
+    service.run(5710ms);
+    CHECK(service.core.mustEnd(service.now));
+    CHECK(service.callers[service.open("a")].isRejected);
+}
+
+// Guards against a session that stays at the home of another entry whose transaction never began there.
+TEST(Draining, RejectedTransactionOfOtherEntryLeavesNoSession)
+{
+    start();
+    for (const char *server : { "b0", "b1", "b2" }) {
+        service.servers[server].isBusy = true;
+    }
+    forwardWrite(1, true);
+    service.run(1s);
+    CHECK_EQUAL(0, service.core.sessionCount());
+}
+
+// Guards against a transaction of another entry that holds the drain to the end of the grace period.
+TEST(Draining, IdleTransactionOfOtherEntryEndsWhenResponsesAreDue)
+{
+    start();
+    forwardWrite(1, true);
+    service.run(100ms);
+    CHECK_EQUAL(1, service.core.sessionCount());
+    service.core.drain(service.now, 6s);
+    service.run(5300ms);
+    CHECK(service.core.isDrained(service.now));
+    CHECK(!service.core.mustEnd(service.now));
+}
--- a/unittests/proxy/fakeservers.cpp
+++ b/unittests/proxy/fakeservers.cpp
@@ -17,6 +17,10 @@
         return;
     }
     Server &server = servers[found->second.server];
+    if (std::any_of(exchange.statements.begin(), exchange.statements.end(),
+            [this](const Statement &statement) { return stuckStatements.contains(statement.id); })) {
+        return;
+    }
     std::vector<BackendResponse> responses;
     bool ranCallerStatement = false;
     for (const Statement &statement : exchange.statements) {
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -67,6 +67,7 @@
     std::map<std::string, int> commitCounts; ///< Number of commits of each write, by statement id.
     std::string violation;
     std::set<std::string> serversRefusingConnections;
+    std::set<std::string> stuckStatements; ///< Statements that get no response while their server responds to others.
 
     std::vector<Workspace> workspaces; ///< Callers need keys if there are any; applied by configure().
     std::uint64_t configVersion = 0; ///< Version of the configuration that control has.
