Answer what arrives in the last moments of a drain

Found by review of the change of the drain: a caller with half a message kept its session open and held the drain to its end; a statement larger than one read, a START without a configuration, and statements of other entries that had arrived were dropped at the end; messages to a VM that cannot be reached held the end; a tick after the end could finish the role twice; a session with too many names was closed without a response.

The end by EntryNode has no test of its own; the soak plays it.

--- a/lib/proxy/access.cpp
+++ b/lib/proxy/access.cpp
@@ -5,6 +5,10 @@
 
 void ProxyCore::onSessionOpened(Instant now, SessionId id, const std::string &database, const std::string &key)
 {
+    if (!canFinishBeforeDrainEnds(now, Duration::zero())) {
+        rejectSession(now, id, database, { ResponseCode::Busy, "draining", timing_.busyBackoff });
+        return;
+    }
     if (configuration_.version == 0) {
         // Shortly after a start the configuration is about to arrive. A rejected caller might only reach another
         // starting entry.
--- a/lib/proxy/statements.cpp
+++ b/lib/proxy/statements.cpp
@@ -105,6 +105,7 @@
     }
     if (session.values.size() + session.prepared.size() > timing_.maxSessionNames) {
         metrics_.add("sessions_too_many_names_total");
+        respondLocally(session, ResponseCode::BadMessage, "too many names");
         actions_.emplace_back(CloseSession { session.id });
         return;
     }
--- a/lib/runtime/bytestream.cpp
+++ b/lib/runtime/bytestream.cpp
@@ -18,6 +18,8 @@
 static constexpr int KeepAliveIntervalSeconds = 1;
 static constexpr int KeepAliveProbeCount = 2;
 static constexpr std::size_t ReadBufferBytes = std::size_t { 64 } * 1024;
+/// Largest message of a caller.
+static constexpr std::size_t MaxArrivedBytes = std::size_t { 1024 } * 1024;
 
 ByteStream::ByteStream(tcp::socket socket) : socket_(std::move(socket)), timer_(socket_.get_executor())
 {
@@ -121,10 +123,11 @@
 
 void ByteStream::readArrivedBytes()
 {
-    if (isOpen_ && unreadBytes() > unconsumed_.size()) {
+    const std::shared_ptr<ByteStream> self = shared_from_this();
+    processUnconsumedBytes();
+    constexpr std::size_t MaxReads = 2 * MaxArrivedBytes / ReadBufferBytes;
+    for (std::size_t reads = 0; reads < MaxReads && isOpen_ && unreadBytes() > unconsumed_.size(); ++reads) {
         readBytes();
-    } else {
-        processUnconsumedBytes();
     }
 }
 
@@ -229,6 +232,11 @@
     return !unconsumed_.empty();
 }
 
+std::string_view ByteStream::unconsumedBytes() const
+{
+    return unconsumed_;
+}
+
 std::size_t ByteStream::unreadBytes() const
 {
     ErrorCode ignored;
--- a/lib/runtime/bytestream.h
+++ b/lib/runtime/bytestream.h
@@ -56,6 +56,7 @@
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] std::size_t unsentBytes() const;
     [[nodiscard]] bool hasUnconsumedBytes() const;
+    [[nodiscard]] std::string_view unconsumedBytes() const;
     /// Returns the number of bytes that have arrived and were not consumed, including those still in the socket.
     [[nodiscard]] std::size_t unreadBytes() const;
 
--- a/lib/runtime/callersessions.cpp
+++ b/lib/runtime/callersessions.cpp
@@ -180,7 +180,7 @@
         return;
     }
     const std::shared_ptr<ByteStream> stream = found->second.stream;
-    if (!found->second.isAwaitingResponse && stream->isOpen() && stream->unreadBytes() > 0) {
+    if (!found->second.isAwaitingResponse && hasUnreadMessage(*stream)) {
         return;
     }
     sessions_.erase(found);
@@ -188,6 +188,14 @@
     hooks_.onClosed(session);
 }
 
+// Bytes in the socket may complete a message. A caller that sends half a message must not keep its session open.
+bool CallerSessions::hasUnreadMessage(const ByteStream &stream) const
+{
+    return stream.isOpen()
+        && (stream.unreadBytes() > stream.unconsumedBytes().size()
+            || platform_.decodeCallerMessage(stream.unconsumedBytes()).consumedBytes > 0);
+}
+
 void CallerSessions::readArrivedBytes()
 {
     std::vector<std::shared_ptr<ByteStream>> streams;
@@ -219,7 +227,7 @@
     };
     for (const auto &[id, session] : sessions_) {
         add(*session.stream);
-        backlog.unreadBytes += session.stream->unreadBytes();
+        backlog.unreadBytes += hasUnreadMessage(*session.stream) ? session.stream->unreadBytes() : 0;
     }
     for (const std::weak_ptr<ByteStream> &closing : closingStreams_) {
         if (const std::shared_ptr<ByteStream> stream = closing.lock(); stream) {
--- a/lib/runtime/callersessions.h
+++ b/lib/runtime/callersessions.h
@@ -33,8 +33,8 @@
     void rejectSession(SessionId session, ResponseCode code, std::string_view detail);
     /// Sends \p response and reads the next statement.
     void sendResponse(SessionId session, const CallerResponse &response);
-    /// Closes the session once all responses are written. A session with a statement that has arrived and was not read
-    /// is not closed; its statement is read next.
+    /// Closes the session once all responses are written. A session with a complete statement that has arrived and was
+    /// not read is not closed; its statement is read next.
     void close(SessionId session);
 
     /// Reads what has arrived on all connections.
@@ -44,7 +44,7 @@
     struct Backlog {
         std::size_t connections = 0; ///< Open connections, including those that close after their writes.
         std::size_t unsentBytes = 0;
-        std::size_t unreadBytes = 0;
+        std::size_t unreadBytes = 0; ///< Of messages that may be complete.
     };
     [[nodiscard]] Backlog backlog() const;
 
@@ -60,6 +60,7 @@
     /// \returns the number of bytes consumed.
     std::size_t processBytes(SessionId session, std::string_view bytes);
     void resumeReading(SessionId session);
+    [[nodiscard]] bool hasUnreadMessage(const ByteStream &stream) const;
     void closeAfterWrites(const std::shared_ptr<ByteStream> &stream);
 
     boost::asio::io_context &context_;
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -16,6 +16,8 @@
 static constexpr Duration SettingsReloadInterval = std::chrono::seconds(2);
 /// How long a drain waits for the first message on connections that were accepted when the listening socket was closed.
 static constexpr Duration MaxOpeningTime = std::chrono::milliseconds(100);
+/// How long a drain waits until messages to other VMs are sent. A VM that cannot be reached accepts none.
+static constexpr Duration MaxPeerFlushTime = std::chrono::milliseconds(500);
 
 EntryNode::EntryNode(NodeContext &context)
     : context_(context)
@@ -189,6 +191,9 @@
 
 void EntryNode::tick()
 {
+    if (isFinished_) {
+        return;
+    }
     const Instant now = Clock::now();
     core_.tick(now);
     performActions();
@@ -198,6 +203,8 @@
     }
     context_.logSink->writePending();
     if (core_.isDrained(now) && hasEnded(now)) {
+        timer_.cancel();
+        isFinished_ = true;
         reportDrainEnd(now);
         context_.finishRole(0);
         return;
@@ -211,15 +218,19 @@
         stoppedListeningAt_ = now;
         callers_.stopListening();
     }
+    // The event loop may be late. Statements that have arrived get a response; at the end they do not run any more.
+    peers_.readArrivedBytes();
+    callers_.readArrivedBytes();
+    performActions();
     if (core_.mustEnd(now)) {
-        // The event loop may be late. Statements that have arrived get a response; they do not run any more.
-        callers_.readArrivedBytes();
-        performActions();
         return true;
     }
+    const Duration sinceListening = now - *stoppedListeningAt_;
     const CallerSessions::Backlog backlog = callers_.backlog();
-    const bool isIdle = backlog.connections == 0 || now - *stoppedListeningAt_ >= MaxOpeningTime;
-    return isIdle && backlog.unsentBytes == 0 && backlog.unreadBytes == 0 && peers_.unsentBytes() == 0;
+    const bool hasNoCallers = backlog.connections == 0 || sinceListening >= MaxOpeningTime;
+    const bool hasSentToPeers = peers_.unsentBytes() == 0 || sinceListening >= MaxPeerFlushTime;
+    return core_.isDrained(now) && hasNoCallers && hasSentToPeers && backlog.unsentBytes == 0
+        && backlog.unreadBytes == 0;
 }
 
 void EntryNode::reportDrainEnd(Instant now)
--- a/lib/runtime/entrynode.h
+++ b/lib/runtime/entrynode.h
@@ -50,6 +50,7 @@
     std::unique_ptr<HttpServer> healthServer_;
     boost::asio::steady_timer timer_;
     bool isPerformingActions_ = false;
+    bool isFinished_ = false;
     std::optional<Instant> stoppedListeningAt_; ///< Set once no session was left in a drain.
     std::vector<VmId> controlVms_;
     VmId controlVm_; ///< Control VM that receives the reports.
--- a/lib/runtime/peertransport.cpp
+++ b/lib/runtime/peertransport.cpp
@@ -263,6 +263,22 @@
     return unsentBytes;
 }
 
+void PeerTransport::readArrivedBytes()
+{
+    std::vector<std::shared_ptr<ByteStream>> streams;
+    for (const auto &[vm, outgoing] : outgoingConnections_) {
+        streams.push_back(outgoing.stream);
+    }
+    for (const auto &[vm, accepted] : acceptedConnections_) {
+        streams.push_back(accepted.stream.lock());
+    }
+    for (const std::shared_ptr<ByteStream> &stream : streams) {
+        if (stream) {
+            stream->readArrivedBytes();
+        }
+    }
+}
+
 PeerTransport::Hooks countingPeerHooks(NodeContext &context)
 {
     PeerTransport::Hooks hooks;
--- a/lib/runtime/peertransport.h
+++ b/lib/runtime/peertransport.h
@@ -47,6 +47,9 @@
 
     [[nodiscard]] std::size_t unsentBytes() const;
 
+    /// Reads what has arrived on all connections.
+    void readArrivedBytes();
+
 private:
     struct AcceptedConnection {
         std::weak_ptr<ByteStream> stream;
--- a/unittests/draining/callersessionstest.cpp
+++ b/unittests/draining/callersessionstest.cpp
@@ -152,3 +152,24 @@
     CHECK_EQUAL(0, sessions->backlog().unsentBytes);
     CHECK_EQUAL(0, sessions->backlog().connections);
 }
+
+// Guards against a caller that holds a drain by sending half a message.
+TEST(CallerSessions, HalfMessageDoesNotKeepTheSessionOpen)
+{
+    write("half");
+    awaitUnreadBytes();
+    io.poll();
+    CHECK_EQUAL(0, sessions->backlog().unreadBytes);
+    sessions->close(lastSession);
+    CHECK_EQUAL(1, closed);
+}
+
+// Guards against a statement that is larger than one read and is cut at the end.
+TEST(CallerSessions, LargeStatementThatHasArrivedIsReadAtOnce)
+{
+    constexpr std::size_t Size = 100'000;
+    write(std::string(Size, 'x') + "\n");
+    while (sessions->backlog().unreadBytes < Size + 1) { }
+    sessions->readArrivedBytes();
+    CHECK_EQUAL(1, statements.size());
+}
