--- a/lib/runtime/node.cpp
+++ b/lib/runtime/node.cpp
@@ -129,10 +129,23 @@
         exitCode_ = code;
         context_.log.log(Clock::now(), "node.end", { { "code", std::int64_t { code } } });
         context_.logSink->writePending();
+        blockSignals();
         // A role finishes only after its responses were written to the sockets, or the grace period is over.
         context_.io.stop();
     }
 
+    // The end of signals_ restores the default actions, so that a late signal would end the process with its own
+    // status.
+    static void blockSignals()
+    {
+        sigset_t signals;
+        ::sigemptyset(&signals);
+        for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
+            ::sigaddset(&signals, signal);
+        }
+        ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    }
+
     std::string settingsPath_;
     NodeContext context_;
     boost::asio::signal_set signals_;
