--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // Case 1: a check-in from another writer, with a service that the configuration does not name, makes the entries end.
-#include "../standin/standin.h"
+#include "../standin/standin.hh"
 
 using namespace standin;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[1-5]/case.cpp; do
+for source in review/[1-5]/case.cc; do
     [ -f "$source" ] || continue
     name=case$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -g -Wall -Wextra -o "target/review/$name" "$source"
