--- a/review/standin/standin.hh
+++ b/review/standin/standin.hh
@@ -643,6 +643,8 @@
     int runs = 0;
     std::function<void(const std::string &id, const std::string &mac, const std::string &row)> onRun;
     std::function<void()> onDrainingAcknowledged;
+    std::function<void(const std::string &id, const Database &database)> onRead;
+    std::function<void(const std::string &id, std::uint64_t number)> onCommit;
 
     Database(Loop &loop, ServiceLog &service, std::vector<Address> controls)
         : loop_(loop)
@@ -968,6 +970,9 @@
         if (onRun) {
             onRun(statement, mac, row);
         }
+        if (verb == "FETCH" && onRead) {
+            onRead(statement, *this);
+        }
         const auto answer = [this, session, mac, row](bool isAcknowledged) {
             if (isAcknowledged) {
                 session->stream->send(
@@ -982,6 +987,9 @@
         }
         service_.log.push_back({ term, statement, steadyMs() });
         received = service_.log.size();
+        if (onCommit) {
+            onCommit(statement, received);
+        }
         // Replicas receive a commit some milliseconds later; where writes wait for one, the answer waits, too.
         session->isBusy = true;
         auto commit = std::make_shared<Waiting>();
@@ -1216,6 +1224,7 @@
     bool isConfigured = false;
     std::string limits = "\"TxIdleMs\":3000";
     std::string tenants;
+    std::string moreRoutes; ///< Further routes, each preceded by a comma.
 
     SmallSystem(Loop &loop, Deployment &deployment, int serviceCount, int syncReplicas = 0)
         : loop_(loop), deployment_(deployment), platform_(loop), syncReplicas_(syncReplicas)
@@ -1226,7 +1235,8 @@
     }
     std::string configuration(int version) const
     {
-        return "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + routes_ + "],\"Services\":[" + serviceList_
+        return "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + routes_ + moreRoutes + "],\"Services\":["
+            + serviceList_
             + "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,"
               "\"IdleTimeoutMs\":15000,"
             + limits + "}" + tenants + "}";
