--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -13,65 +13,6 @@
 static constexpr int Rounds = 2;
 static constexpr Millis RoundInterval = 3000;
 
-/// A session that stays open and sends what it is told.
-class Planner
-{
-public:
-    Planner(Loop &loop, Address entry, std::string name) : loop_(loop), entry_(std::move(entry)), name_(std::move(name))
-    {
-    }
-    std::map<std::string, std::string> outcomes; ///< Of each statement: "ok" or the error.
-    std::vector<std::string> order;
-
-    void start()
-    {
-        stream_ = Stream::connect(loop_, entry_);
-        stream_->onData = [this]() {
-            while (std::optional<std::string> line = stream_->takeLine()) {
-                onLine(*line);
-            }
-        };
-        stream_->onClosed = [this]() { loop_.record.line("session %s was closed", name_.c_str()); };
-        stream_->send("START mv u1\r\n");
-    }
-    bool isIdle() const
-    {
-        return stream_ && stream_->isOpen() && isReady_;
-    }
-    std::string send(const std::string &text)
-    {
-        id_ = name_ + "q" + std::to_string(++count_);
-        order.push_back(id_);
-        isReady_ = false;
-        error_.clear();
-        loop_.record.line("session %s: sent %s %s", name_.c_str(), id_.c_str(), text.c_str());
-        stream_->send("QUERY " + id_ + " " + text + "\r\n");
-        return id_;
-    }
-
-private:
-    void onLine(const std::string &line)
-    {
-        if (line.starts_with("ERROR ")) {
-            error_ = line.substr(6);
-        } else if (line.starts_with("READY ")) {
-            isReady_ = true;
-            if (!id_.empty()) {
-                outcomes[id_] = error_.empty() ? "ok" : error_;
-                loop_.record.line("session %s: answer to %s: %s", name_.c_str(), id_.c_str(), outcomes[id_].c_str());
-            }
-        }
-    }
-    Loop &loop_;
-    Address entry_;
-    std::string name_;
-    std::shared_ptr<Stream> stream_;
-    bool isReady_ = false;
-    int count_ = 0;
-    std::string id_;
-    std::string error_;
-};
-
 static std::string movedRoute(int service)
 {
     return ",{\"Name\":\"r-mv\",\"Host\":\"mv\",\"PathPrefix\":\"/\",\"Type\":\"read_your_writes\",\"TimeoutMs\":800,"
@@ -123,16 +64,16 @@
             const auto entries = deployment.entries();
             sessions.push_back(std::make_unique<Planner>(loop,
                 Address { entries[static_cast<std::size_t>(at) % entries.size()]->host, deployment.callerPort },
-                "s" + std::to_string(at)));
+                "s" + std::to_string(at), "mv"));
             sessions.back()->start();
         }
     });
     if (hasTrouble) {
         loop.after(LagAt, [&]() {
             loop.record.line("replicas of svc0 apply %ld ms late", static_cast<long>(UsualLagMs * LagFactor));
-            system.services[0]->replicaLagMs = UsualLagMs * LagFactor;
+            setReplicaLag(*system.services[0], UsualLagMs * LagFactor);
         });
-        loop.after(LagAt + LagFor, [&]() { system.services[0]->replicaLagMs = UsualLagMs; });
+        loop.after(LagAt + LagFor, [&]() { setReplicaLag(*system.services[0], UsualLagMs); });
     }
     int version = 7;
     const auto sendAll = [&](const std::string &text, std::vector<std::string> &ids) {
--- a/review/standin/standin.hh
+++ b/review/standin/standin.hh
@@ -348,6 +348,72 @@
     int fd_ = -1;
 };
 
+/// Forwards connections. While it is cut, bytes and new connections are held up silently.
+class Proxy
+{
+public:
+    Proxy(Loop &loop, Address from, Address to)
+        : loop_(loop), to_(std::move(to)), listener_(loop, [this](auto stream) { accept(stream); })
+    {
+        isListening = listener_.listen(from);
+    }
+    bool isListening = false;
+    void setCut(bool isCut)
+    {
+        isCut_ = isCut;
+        if (!isCut_) {
+            for (const std::shared_ptr<Pair> &pair : std::set<std::shared_ptr<Pair>>(pairs_)) {
+                pump(pair);
+            }
+        }
+    }
+
+private:
+    struct Pair {
+        std::shared_ptr<Stream> near;
+        std::shared_ptr<Stream> far;
+    };
+    void accept(const std::shared_ptr<Stream> &stream)
+    {
+        auto pair = std::make_shared<Pair>();
+        pair->near = stream;
+        pairs_.insert(pair);
+        stream->onData = [this, pair]() { pump(pair); };
+        stream->onClosed = [this, pair]() { end(pair); };
+        pump(pair);
+    }
+    void pump(const std::shared_ptr<Pair> &pair)
+    {
+        if (isCut_ || !pairs_.contains(pair)) {
+            return;
+        }
+        if (!pair->far) {
+            pair->far = Stream::connect(loop_, to_);
+            pair->far->onData = [this, pair]() { pump(pair); };
+            pair->far->onClosed = [this, pair]() { end(pair); };
+        }
+        if (!pair->near->input.empty()) {
+            pair->far->send(std::exchange(pair->near->input, {}));
+        }
+        if (!pair->far->input.empty()) {
+            pair->near->send(std::exchange(pair->far->input, {}));
+        }
+    }
+    void end(const std::shared_ptr<Pair> &pair)
+    {
+        pairs_.erase(pair);
+        pair->near->close();
+        if (pair->far) {
+            pair->far->close();
+        }
+    }
+    Loop &loop_;
+    Address to_;
+    Listener listener_;
+    std::set<std::shared_ptr<Pair>> pairs_;
+    bool isCut_ = false;
+};
+
 struct HttpMessage {
     std::string head;
     std::string body;
@@ -440,6 +506,7 @@
     bool fences = true;
     int graceS = 6;
     std::string folder;
+    std::map<std::string, std::map<std::string, Address>> proxies; ///< By process: where it reaches other hosts.
     std::string program = "target/daisyrelay-node";
     std::vector<Process> processes;
 
@@ -541,6 +608,12 @@
     file << "tolerated: 1\ngrace: " << deployment.graceS
          << "s\nplatform_fences: " << (deployment.fences ? "true" : "false") << "\nplatform: \""
          << deployment.host(3, 0) << ":" << deployment.platformPort << "\"\n";
+    if (const auto found = deployment.proxies.find(process.name); found != deployment.proxies.end()) {
+        file << "reached_at:\n";
+        for (const auto &[host, proxy] : found->second) {
+            file << "  \"" << host << "\": \"" << proxy.text() << "\"\n";
+        }
+    }
 }
 
 inline void startProcess(Loop &loop, Deployment &deployment, Process &process)
@@ -673,11 +746,19 @@
     std::uint64_t applied() const
     {
         std::uint64_t count = received;
-        while (!isPrimary && count > 0 && service_.log[count - 1].at + service_.replicaLagMs > steadyMs()) {
+        while (
+            !isPrimary && count > appliedBefore_ && service_.log[count - 1].at + service_.replicaLagMs > steadyMs()) {
             --count;
         }
+        appliedBefore_ = count;
         return count;
     }
+    /// Rolls back what the new primary lacks.
+    void truncate(std::uint64_t number)
+    {
+        received = std::min(received, number);
+        appliedBefore_ = std::min(appliedBefore_, number);
+    }
     /// Receives what the primary has committed, unless replication is paused.
     void receive()
     {
@@ -703,6 +784,7 @@
     /// Loses the lead: the commits that wait for a replica have run, but are not acknowledged.
     void loseLead()
     {
+        appliedBefore_ = received;
         isPrimary = false;
         for (const std::shared_ptr<Waiting> &commit : std::exchange(waiting_, {})) {
             commit->finish(false);
@@ -1016,6 +1098,7 @@
         std::function<void(bool isAcknowledged)> finish;
     };
     std::vector<std::shared_ptr<Waiting>> waiting_;
+    mutable std::uint64_t appliedBefore_ = 0; ///< What was applied stays so unless a promote rolls it back.
     Loop &loop_;
     ServiceLog &service_;
     std::vector<Address> controls_;
@@ -1028,6 +1111,15 @@
     Millis slotFreeAt_[2] = { 0, 0 };
 };
 
+/// Changes how much later than received the replicas apply. What they have applied by now stays applied.
+inline void setReplicaLag(ServiceLog &service, Millis lag)
+{
+    for (const Database *member : service.members) {
+        member->applied();
+    }
+    service.replicaLagMs = lag;
+}
+
 /// The infrastructure's call for promotions.
 class Platform
 {
@@ -1102,6 +1194,7 @@
     double writeShare = 0.2;
     Millis pauseMs = 120;
     std::set<std::string> acknowledgedWrites;
+    std::map<std::string, Millis> acknowledgedAt;
     std::set<std::string> *answers = nullptr; ///< What the databases answered: id, MAC and row.
     int served = 0;
     int refused = 0;
@@ -1193,6 +1286,7 @@
         ++served;
         if (text_.starts_with("PUT")) {
             acknowledgedWrites.insert(id_);
+            acknowledgedAt[id_] = steadyMs();
         }
         if (answers != nullptr) {
             if (!answers->contains(id_ + " " + mac_ + " " + row_)) {
@@ -1213,6 +1307,67 @@
     int count_ = 0;
 };
 
+/// A session that stays open and sends what it is told.
+class Planner
+{
+public:
+    Planner(Loop &loop, Address entry, std::string name, std::string route)
+        : loop_(loop), entry_(std::move(entry)), name_(std::move(name)), route_(std::move(route))
+    {
+    }
+    std::map<std::string, std::string> outcomes; ///< Of each statement: "ok" or the error.
+    std::vector<std::string> order;
+
+    void start()
+    {
+        stream_ = Stream::connect(loop_, entry_);
+        stream_->onData = [this]() {
+            while (std::optional<std::string> line = stream_->takeLine()) {
+                onLine(*line);
+            }
+        };
+        stream_->onClosed = [this]() { loop_.record.line("session %s was closed", name_.c_str()); };
+        stream_->send("START " + route_ + " u1\r\n");
+    }
+    bool isIdle() const
+    {
+        return stream_ && stream_->isOpen() && isReady_;
+    }
+    std::string send(const std::string &text)
+    {
+        id_ = name_ + "q" + std::to_string(++count_);
+        order.push_back(id_);
+        isReady_ = false;
+        error_.clear();
+        loop_.record.line("session %s: sent %s %s", name_.c_str(), id_.c_str(), text.c_str());
+        stream_->send("QUERY " + id_ + " " + text + "\r\n");
+        return id_;
+    }
+
+private:
+    void onLine(const std::string &line)
+    {
+        if (line.starts_with("ERROR ")) {
+            error_ = line.substr(6);
+        } else if (line.starts_with("READY ")) {
+            isReady_ = true;
+            if (!id_.empty()) {
+                outcomes[id_] = error_.empty() ? "ok" : error_;
+                loop_.record.line("session %s: answer to %s: %s", name_.c_str(), id_.c_str(), outcomes[id_].c_str());
+            }
+        }
+    }
+    Loop &loop_;
+    Address entry_;
+    std::string name_;
+    std::string route_;
+    std::shared_ptr<Stream> stream_;
+    bool isReady_ = false;
+    int count_ = 0;
+    std::string id_;
+    std::string error_;
+};
+
 /// A small system: 3 core and some front processes, services with three databases each, an operator and clients.
 class SmallSystem
 {
@@ -1283,7 +1438,7 @@
         std::printf("%s: %s; %d statements served, %d cut without an answer\n", name.c_str(),
             isBroken ? "BROKEN" : "held", served, broken);
         const std::string remove = "rm -rf '" + deployment_.folder + "'";
-        const int removed = std::system(remove.c_str());
+        const int removed = std::getenv("KEEP") == nullptr ? std::system(remove.c_str()) : 0;
         return isBroken ? 1 : removed * 0;
     }
 
@@ -1319,7 +1474,7 @@
             if (member != &leader && member->isPrimary) {
                 member->loseLead();
             }
-            member->received = std::min(member->received, leader.received);
+            member->truncate(leader.received);
             member->term = service.term;
             member->isPaused = false;
         }
