--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -45,6 +45,11 @@
             successor->term = service.term;
             successor->received = service.log.size(); // The log is transferred before it checks in.
             successor->onRun = system.databases[0]->onRun;
+            Database &started = *successor;
+            started.onAcknowledged = [&loop, &started, &service]() {
+                loop.record.line("release: the check-in of %s is acknowledged; the primary has %zu commits",
+                    started.id.c_str(), service.log.size());
+            };
             successor->start();
             loop.record.line("release: %s starts with %lu commits", successor->id.c_str(), successor->received);
             successors.push_back(std::move(successor));
--- a/review/standin/standin.hh
+++ b/review/standin/standin.hh
@@ -716,6 +716,7 @@
     int runs = 0;
     std::function<void(const std::string &id, const std::string &mac, const std::string &row)> onRun;
     std::function<void()> onDrainingAcknowledged;
+    std::function<void()> onAcknowledged; ///< The first check-in was acknowledged.
     std::function<void(const std::string &id, const Database &database)> onRead;
     std::function<void(const std::string &id, std::uint64_t number)> onCommit;
 
@@ -822,6 +823,9 @@
         const Address to = beatAt_ ? *beatAt_ : controls_[nextControl_ % controls_.size()];
         httpCall(loop_, to, "POST", "/-/Instances.Heartbeat/" + id, body, 1000,
             [this, body, attempt](std::optional<HttpMessage> response) {
+                if (response && response->status / 100 == 2 && onAcknowledged) {
+                    std::exchange(onAcknowledged, nullptr)();
+                }
                 if (response && response->status / 100 == 2 && body.find("\"draining\"") != std::string::npos
                     && onDrainingAcknowledged) {
                     std::exchange(onDrainingAcknowledged, nullptr)();
