Review case 5: a replica that restarts during a promotion forgets its pause

Cause: the pause of a replica ends with its process, and the leader does not renew it when the replica checks in anew. Shows: acknowledged commits are lost when a replica restarts while the primary of a service with SyncReplicas 1 is replaced.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,102 +1,15 @@
-// Case 5: clients that send statements faster than they are answered fill the memory of the entries.
+// Case 5: a replica that restarts while the primary is replaced forgets its pause. It receives commits that the
+// promoted database lacks, and the clients have their acknowledgements.
 #include "../standin/standin.hh"
 
 using namespace standin;
 
-static constexpr int FloodersPerEntry = 4;
-static constexpr std::size_t FloodBytesPerSecond = 40'000'000; // At each entry: a third of LinkMbps 1,000.
-static constexpr std::size_t MemoryLimitKb = 260 * 1000;
-static constexpr Millis FloodAt = 6000;
-static constexpr Millis EndAt = 50000;
-
-/// Sends statements without waiting for the answers, which it reads and drops.
-class Flooder
-{
-public:
-    Flooder(Loop &loop, Address entry, std::string route, std::string name)
-        : loop_(loop), entry_(std::move(entry)), route_(std::move(route)), name_(std::move(name))
-    {
-    }
-    std::size_t sentBytes = 0;
-    int connections = 0;
-    void start()
-    {
-        open();
-        loop_.every(10, [this]() {
-            if (isOpen_ && fd_ >= 0) {
-                pump();
-            }
-            return true;
-        });
-    }
-
-private:
-    void open()
-    {
-        ++connections;
-        fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const sockaddr_in address = entry_.raw();
-        if (::connect(fd_, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
-            retry();
-            return;
-        }
-        ::fcntl(fd_, F_SETFL, O_NONBLOCK);
-        isOpen_ = true;
-        pending_ = "START " + route_ + " u1\r\n";
-        loop_.watch(fd_,
-            { []() { return static_cast<short>(POLLIN); },
-                [this](short) {
-                    char buffer[65536];
-                    const ssize_t count = ::recv(fd_, buffer, sizeof buffer, 0);
-                    if (count == 0 || (count < 0 && errno != EAGAIN)) {
-                        retry();
-                    }
-                } });
-    }
-    void retry()
-    {
-        isOpen_ = false;
-        if (fd_ >= 0) {
-            loop_.unwatch(fd_);
-            ::close(fd_);
-            fd_ = -1;
-        }
-        loop_.after(500, [this]() { open(); });
-    }
-    void pump()
-    {
-        std::size_t budget = FloodBytesPerSecond / 100 / FloodersPerEntry;
-        while (budget > 0) {
-            while (pending_.size() < 65536) {
-                pending_ += "QUERY " + name_ + "f" + std::to_string(++count_) + " FETCH i7\r\n";
-            }
-            const ssize_t sent = ::send(fd_, pending_.data(), std::min(pending_.size(), budget), MSG_NOSIGNAL);
-            if (sent <= 0) {
-                return;
-            }
-            pending_.erase(0, static_cast<std::size_t>(sent));
-            sentBytes += static_cast<std::size_t>(sent);
-            budget -= std::min(budget, static_cast<std::size_t>(sent));
-        }
-    }
-    Loop &loop_;
-    Address entry_;
-    std::string route_;
-    std::string name_;
-    std::string pending_;
-    std::uint64_t count_ = 0;
-    int fd_ = -1;
-    bool isOpen_ = false;
-};
-
-static std::size_t residentKb(pid_t pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-    std::size_t size = 0;
-    std::size_t resident = 0;
-    file >> size >> resident;
-    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) / 1000;
-}
+static constexpr Millis ReleaseAt = 8000;
+static constexpr Millis ReadyAfter = 800; // A new database has taken its place for this long before the old one drains.
+static constexpr Millis CrashAfterDraining = 120;
+static constexpr Millis DownFor = 150; // Less than the seconds of `srv_crash`: the process is started again at once.
+static constexpr Millis DrainMs = 7000;
+static constexpr Millis EndAt = 25000;
 
 int main(int argc, char **argv)
 {
@@ -105,60 +18,88 @@
     const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
     Loop loop;
     Deployment deployment;
-    if (argc < 2 || !loop.record.open(argv[1]) || !prepare(deployment, 4, 3)) {
+    if (argc < 2 || !loop.record.open(argv[1]) || !prepare(deployment, 3, 3)) {
         std::fprintf(stderr, "case 5: cannot prepare the deployment\n");
         return 2;
     }
     loop.random.seed(std::random_device {}());
-    SmallSystem system(loop, deployment, 3);
-    if (!system.start()) {
+    SmallSystem system(loop, deployment, 1, 1);
+    if (!system.start(12)) {
         return 2;
     }
-    std::vector<std::unique_ptr<Flooder>> flooders;
-    loop.after(FloodAt, [&]() {
-        for (std::size_t at = 0; hasTrouble && at < 2; ++at) {
-            const Process &entry = *deployment.entries()[at];
-            for (int peer = 0; peer < FloodersPerEntry; ++peer) {
-                flooders.push_back(std::make_unique<Flooder>(loop, Address { entry.host, deployment.callerPort },
-                    "db0t1", "x" + std::to_string(at) + "p" + std::to_string(peer)));
-                flooders.back()->start();
-            }
-            loop.record.line("%d peers flood %s", FloodersPerEntry, entry.name.c_str());
+    ServiceLog &service = *system.services[0];
+    loop.after(1500, [&system]() {
+        for (const auto &client : system.clients) {
+            client->writeShare = client->writeShare > 0 ? 0.5 : 0;
         }
     });
-    std::map<std::string, std::size_t> peaks;
-    std::map<std::string, int> kills;
-    loop.every(50, [&]() {
-        for (Process &process : deployment.processes) {
-            if (process.pid <= 0) {
-                continue;
-            }
-            const std::size_t kb = residentKb(process.pid);
-            peaks[process.name] = std::max(peaks[process.name], kb);
-            if (kb > MemoryLimitKb) {
-                // The platform kills a process that uses more than MemoryMb, which counts as an end by itself.
-                ++kills[process.name];
-                loop.record.line("process %s uses %zu kB, over its MemoryMb of 260: killed", process.name.c_str(), kb);
-                ::kill(process.pid, SIGKILL);
-            }
-        }
-        return true;
+    std::vector<std::unique_ptr<Database>> started;
+    const auto start
+        = [&](const std::string &id, const std::string &zone, const Address &address, std::uint64_t received) {
+              auto database = std::make_unique<Database>(loop, service, deployment.controls());
+              database->id = id;
+              database->zone = zone;
+              database->address = address;
+              database->term = service.term;
+              database->received = received;
+              database->onRun = system.databases[0]->onRun;
+              database->onAcknowledged = [&loop, &service, id]() {
+                  loop.record.line("the check-in of %s is acknowledged; the primary has %zu commits", id.c_str(),
+                      service.log.size());
+              };
+              database->start();
+              loop.record.line("%s starts with %lu commits", id.c_str(), received);
+              started.push_back(std::move(database));
+          };
+    // Planned work, with and without trouble: the primary is replaced.
+    Database &old = *system.databases[0];
+    loop.after(ReleaseAt, [&]() {
+        start("i-" + service.name + "-new", old.zone, { deployment.host(20, 0), deployment.backendPort },
+            service.log.size());
     });
-    loop.every(1000, [&]() {
-        std::string text;
-        for (const Process &process : deployment.processes) {
-            text += " " + process.name + "=" + std::to_string(process.pid > 0 ? residentKb(process.pid) : 0);
-        }
-        loop.record.line("memory in kB:%s", text.c_str());
-        return true;
+    loop.after(ReleaseAt + ReadyAfter, [&]() {
+        old.stateName = "draining";
+        loop.record.line("release: %s drains", old.id.c_str());
+        old.onDrainingAcknowledged = [&loop, &old, &deployment]() {
+            loop.after(DrainMs + 500, [&loop, &old, &deployment]() {
+                httpCall(loop, deployment.controls()[0], "POST", "/-/Instances.Leave/" + old.id,
+                    "{\"born\":" + std::to_string(old.born) + "}", 1000,
+                    [&old](std::optional<HttpMessage>) { old.end(); });
+            });
+        };
+        old.beat();
     });
+    if (hasTrouble) {
+        Database &replica = *system.databases[2];
+        loop.after(ReleaseAt + ReadyAfter + CrashAfterDraining, [&]() {
+            loop.record.line("%s crashes", replica.id.c_str());
+            replica.end();
+            loop.after(DownFor, [&]() { start(replica.id, replica.zone, replica.address, replica.received); });
+        });
+    }
     loop.after(EndAt, [&loop]() { loop.stop(); });
     loop.run();
-    int machinesWithThreeEnds = 0;
-    for (const Process &process : deployment.processes) {
-        machinesWithThreeEnds += process.ownEnds >= 3 ? 1 : 0;
-        loop.record.line(
-            "total: process %s: peak %zu kB, %d ends", process.name.c_str(), peaks[process.name], process.ownEnds);
+
+    std::size_t acknowledged = 0;
+    std::size_t lost = 0;
+    for (const auto &client : system.clients) {
+        for (const std::string &id : client->acknowledgedWrites) {
+            ++acknowledged;
+            if (service.discarded.contains(id)) {
+                ++lost;
+                loop.record.line(
+                    "total: acknowledged commit %s is not in the log of the promoted database", id.c_str());
+            }
+        }
+    }
+    loop.record.line(
+        "total: %zu commits acknowledged to clients, %zu of them lost; term %lu", acknowledged, lost, service.term);
+    std::printf("case 5: %zu commits acknowledged, %zu lost\n", acknowledged, lost);
+    if (service.term < 2) {
+        system.finish("case 5", false);
+        return 2;
     }
-    return system.finish("case 5", machinesWithThreeEnds >= 2);
+    // RULES, LOST: where the service has SyncReplicas, an acknowledged commit isn't in the log of the promoted
+    // database.
+    return system.finish("case 5", lost > 0);
 }
