--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -5,7 +5,7 @@
 using namespace standin;
 
 static constexpr Millis ReleaseAt = 8000;
-static constexpr Millis ReleaseGap = 1000; // As the default of `release`: one database after the other, each second.
+static constexpr Millis SecondAfterPromote = 170; // A second after the first successor, the default gap of `release`.
 static constexpr Millis ReadyAfter = 800; // A new database has taken its place for this long before the old one drains.
 static constexpr Millis DrainMs = 7000;
 static constexpr Millis EndAt = 30000;
@@ -35,38 +35,46 @@
     std::vector<std::unique_ptr<Database>> successors;
     // The databases of the service are replaced one after the other, the primary first. The new one starts first, the
     // old one drains, leaves after DrainMs and ends.
-    for (int at = 0; hasTrouble && at < 2; ++at) {
+    const auto startSuccessor = [&](int at) {
         Database &old = *system.databases[static_cast<std::size_t>(at)];
-        loop.after(ReleaseAt + at * ReleaseGap, [&, at]() {
-            auto successor = std::make_unique<Database>(loop, service, deployment.controls());
-            successor->id = "i-" + service.name + "-new" + std::to_string(at);
-            successor->zone = old.zone;
-            successor->address = { deployment.host(20, at), deployment.backendPort };
-            successor->term = service.term;
-            successor->received = service.log.size(); // The log is transferred before it checks in.
-            successor->onRun = system.databases[0]->onRun;
-            Database &started = *successor;
-            started.onAcknowledged = [&loop, &started, &service]() {
-                loop.record.line("release: the check-in of %s is acknowledged; the primary has %zu commits",
-                    started.id.c_str(), service.log.size());
-            };
-            successor->start();
-            loop.record.line("release: %s starts with %lu commits", successor->id.c_str(), successor->received);
-            successors.push_back(std::move(successor));
-        });
-        loop.after(ReleaseAt + at * ReleaseGap + ReadyAfter, [&]() {
-            old.stateName = "draining";
-            loop.record.line("release: %s drains", old.id.c_str());
-            old.onDrainingAcknowledged = [&loop, &old, &deployment]() {
-                loop.record.line("release: draining of %s is acknowledged", old.id.c_str());
-                loop.after(DrainMs + 500, [&loop, &old, &deployment]() {
-                    httpCall(loop, deployment.controls()[0], "POST", "/-/Instances.Leave/" + old.id,
-                        "{\"born\":" + std::to_string(old.born) + "}", 1000,
-                        [&old](std::optional<HttpMessage>) { old.end(); });
-                });
-            };
-            old.beat();
-        });
+        auto successor = std::make_unique<Database>(loop, service, deployment.controls());
+        successor->id = "i-" + service.name + "-new" + std::to_string(at);
+        successor->zone = old.zone;
+        successor->address = { deployment.host(20, at), deployment.backendPort };
+        successor->term = service.term;
+        successor->received = service.log.size(); // The log is transferred before it checks in.
+        successor->onRun = system.databases[0]->onRun;
+        Database &started = *successor;
+        started.onAcknowledged = [&loop, &started, &service]() {
+            loop.record.line("release: the check-in of %s is acknowledged; the primary has %zu commits",
+                started.id.c_str(), service.log.size());
+        };
+        successor->start();
+        loop.record.line("release: %s starts with %lu commits", successor->id.c_str(), successor->received);
+        successors.push_back(std::move(successor));
+    };
+    const auto drain = [&](int at) {
+        Database &old = *system.databases[static_cast<std::size_t>(at)];
+        old.stateName = "draining";
+        loop.record.line("release: %s drains", old.id.c_str());
+        old.onDrainingAcknowledged = [&loop, &old, &deployment]() {
+            loop.record.line("release: draining of %s is acknowledged", old.id.c_str());
+            loop.after(DrainMs + 500, [&loop, &old, &deployment]() {
+                httpCall(loop, deployment.controls()[0], "POST", "/-/Instances.Leave/" + old.id,
+                    "{\"born\":" + std::to_string(old.born) + "}", 1000,
+                    [&old](std::optional<HttpMessage>) { old.end(); });
+            });
+        };
+        old.beat();
+    };
+    if (hasTrouble) {
+        loop.after(ReleaseAt, [&]() { startSuccessor(0); });
+        loop.after(ReleaseAt + ReadyAfter, [&]() { drain(0); });
+        // About a second after the first one, whatever the time that the leader takes to call the promotion.
+        system.onFirstPromote = [&](const std::string &) {
+            loop.after(SecondAfterPromote, [&]() { startSuccessor(1); });
+            loop.after(SecondAfterPromote + ReadyAfter, [&]() { drain(1); });
+        };
     }
     loop.after(EndAt, [&loop]() { loop.stop(); });
     loop.run();
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -6,7 +6,7 @@
 
 static constexpr Millis ReleaseAt = 8000;
 static constexpr Millis ReadyAfter = 800; // A new database has taken its place for this long before the old one drains.
-static constexpr Millis CrashAfterDraining = 120;
+static constexpr Millis CrashAfterPromote = 100;
 static constexpr Millis DownFor = 150; // Less than the seconds of `srv_crash`: the process is started again at once.
 static constexpr Millis DrainMs = 7000;
 static constexpr Millis EndAt = 25000;
@@ -70,12 +70,14 @@
         old.beat();
     });
     if (hasTrouble) {
-        Database &replica = *system.databases[2];
-        loop.after(ReleaseAt + ReadyAfter + CrashAfterDraining, [&]() {
-            loop.record.line("%s crashes", replica.id.c_str());
-            replica.end();
-            loop.after(DownFor, [&]() { start(replica.id, replica.zone, replica.address, replica.received); });
-        });
+        system.onFirstPromote = [&](const std::string &candidate) {
+            Database &replica = *system.databases[system.databases[2]->id == candidate ? 1 : 2];
+            loop.after(CrashAfterPromote, [&]() {
+                loop.record.line("%s crashes", replica.id.c_str());
+                replica.end();
+                loop.after(DownFor, [&]() { start(replica.id, replica.zone, replica.address, replica.received); });
+            });
+        };
     }
     loop.after(EndAt, [&loop]() { loop.stop(); });
     loop.run();
--- a/review/standin/standin.hh
+++ b/review/standin/standin.hh
@@ -1383,6 +1383,8 @@
     bool isConfigured = false;
     std::string limits = "\"TxIdleMs\":3000";
     std::string tenants;
+    std::function<void(const std::string &id)>
+        onFirstPromote; ///< The platform has received the first call for a promotion.
     std::string moreRoutes; ///< Further routes, each preceded by a comma.
 
     SmallSystem(Loop &loop, Deployment &deployment, int serviceCount, int syncReplicas = 0)
@@ -1453,6 +1455,9 @@
         for (const std::unique_ptr<ServiceLog> &service : services) {
             for (Database *candidate : service->members) {
                 if (candidate->id == id) {
+                    if (onFirstPromote) {
+                        std::exchange(onFirstPromote, nullptr)(id);
+                    }
                     loop_.after(600, [this, service = service.get(), id]() { lead(*service, id); });
                     return 200;
                 }
