Keep the position of a session's own writes for each service

Cause: Session::lastWrite held one position for all services. The write to the other service replaced it, and minPointFor compared its position and generation with those of the service that is read. Where the other service had the longer log, every server refused the read instead. A statement that was forwarded to a home carried the same wrong position.

--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -17,7 +17,7 @@
     auto operator<=>(const PreparedStatement &) const = default;
 };
 
-/// Log position of the last write of a session.
+/// Log position of the last write of a session to one service.
 struct LastWrite {
     LogPoint point;
     std::uint64_t generation = 0; ///< Generation of the primary that acknowledged the write.
@@ -94,7 +94,9 @@
     WorkspaceId workspace; ///< Empty if the configuration requires no keys, or the database is public.
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared;
-    std::optional<LastWrite> lastWrite;
+    /// Positions of different services cannot be compared, so each service that the session has written to keeps its
+    /// own.
+    std::map<ServiceId, LastWrite> lastWrites;
     std::optional<CallerTransaction> transaction;
     std::optional<PendingStatement> pending;
     Instant lastActiveAt {};
--- a/include/daisyrelay/wire/forwardingmessages.h
+++ b/include/daisyrelay/wire/forwardingmessages.h
@@ -26,7 +26,7 @@
     std::vector<std::pair<std::string, std::string>> values; ///< Session values.
     bool isPreparedWrite = false; ///< For Execute: whether the prepared statement writes.
     std::string preparedShape; ///< For Execute: shape of the prepared statement.
-    std::optional<LogPoint> lastWrite; ///< Position of the session's last write.
+    std::optional<LogPoint> lastWrite; ///< Position of the session's last write to the service of the route.
     std::uint64_t lastWriteGeneration = 0; ///< Generation of the primary that acknowledged the last write.
     std::chrono::milliseconds remainingTimeout { 0 }; ///< Time left until the response is due.
     std::chrono::milliseconds maxQueueTime { 0 }; ///< Time that the statement may still be queued.
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -106,11 +106,12 @@
 {
     std::optional<LogPoint> point
         = service.freshness.pointCovering(pending.freshnessReference - pending.route->maxStaleness);
-    if (!point || pending.route->guarantee != ReadGuarantee::ReadYourWrites || !session.lastWrite) {
+    const auto lastWrite = session.lastWrites.find(pending.route->service);
+    if (!point || pending.route->guarantee != ReadGuarantee::ReadYourWrites || lastWrite == session.lastWrites.end()) {
         return point;
     }
-    if (session.lastWrite->generation >= service.primary.generation) {
-        return std::max(*point, session.lastWrite->point);
+    if (lastWrite->second.generation >= service.primary.generation) {
+        return std::max(*point, lastWrite->second.point);
     }
     // The first position of the new primary covers all writes of the session that the promotion kept.
     const std::optional<LogPoint> promotionPoint = service.freshness.firstPointOf(service.primary.generation);
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -125,9 +125,9 @@
         request.isPreparedWrite = prepared.isWrite;
         request.preparedShape = prepared.shape;
     }
-    if (session.lastWrite) {
-        request.lastWrite = session.lastWrite->point;
-        request.lastWriteGeneration = session.lastWrite->generation;
+    if (const auto found = session.lastWrites.find(pending.route->service); found != session.lastWrites.end()) {
+        request.lastWrite = found->second.point;
+        request.lastWriteGeneration = found->second.generation;
     }
     const auto timeUntil = [now](Instant until) {
         return std::max(
@@ -302,8 +302,10 @@
     if (request.statement.type == StatementType::Execute) {
         session.prepared[request.statement.name] = { request.isPreparedWrite, request.preparedShape };
     }
-    session.lastWrite = request.lastWrite ? std::optional(LastWrite { *request.lastWrite, request.lastWriteGeneration })
-                                          : std::nullopt;
+    session.lastWrites.clear();
+    if (request.lastWrite) {
+        session.lastWrites[request.route.service] = { *request.lastWrite, request.lastWriteGeneration };
+    }
     PendingStatement pending;
     pending.statement = request.statement;
     pending.route = std::make_shared<const DatabaseRoute>(request.route);
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -236,7 +236,7 @@
     const bool hasCommittedWrite
         = isCommit ? session.transaction->hasWritten : (pending.isWrite && !session.transaction);
     if (hasCommittedWrite && position) {
-        session.lastWrite = LastWrite { *position, generation };
+        session.lastWrites[pending.route->service] = LastWrite { *position, generation };
     }
     if (isCommit) {
         session.transaction.reset();
