Close the set of servers that acknowledge commits before a promotion

Cause: the survey pauses the servers that are recorded at that moment. A server that starts later, or restarts and forgets its pause, receives from the primary, which goes on acknowledging until the promotion takes effect where the platform fences.

Change: the primary steps down before the survey where the platform fences, too, if commits wait for a replica; nothing is acknowledged from then on. All replicas are asked first, so that one without a response leaves the primary its role. A server that was recorded since the survey makes it invalid until the call; after the call it is paused at once, and a primary that restarts is told to step down again. A server receives before its first heartbeat: if the log of the primary that stepped down is longer than that of every surveyed server, the survey waits up to 1.5 s for one with the rest.

Related paths: lib/control (GroupFailover) promotes only members that the replicated log names and that a quorum of answers covers, after all entries have confirmed the end of the old term, so a server that starts meanwhile counts for nothing there.

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -61,7 +61,9 @@
     enum class Stage : std::uint8_t {
         FindingPrimary, ///< No primary has been recorded yet.
         Monitoring,
-        Withdrawing, ///< Waits until no entry can use the primary. Skipped if the platform fences.
+        CheckingReplicas, ///< Asks whether all replicas respond before the primary is made a replica.
+        Withdrawing, ///< Waits until no entry can use the primary. If the platform fences, only until the primary is a
+                     ///< replica, and only where commits wait for a replica.
         Surveying,
         Proposing, ///< The promotion is proposed to the replicated log; the index of its entry becomes the fencing
                    ///< token.
@@ -74,6 +76,20 @@
     void startFailover(Instant now, const MonitorContext &context, std::string_view reason);
     void awaitRelease(Instant now, const MonitorContext &context);
     void stepDown(Instant now, const MonitorContext &context);
+    /// Tells whether the platform fences and the primary cannot confirm that it is a replica.
+    [[nodiscard]] bool isPrimaryLost(Instant now, const MonitorContext &context) const;
+    void checkReplicas(Instant now, const MonitorContext &context);
+    void finishCheck(Instant now, const MonitorContext &context);
+    void askReplicas(Instant now, const MonitorContext &context, ProbeKind kind);
+    [[nodiscard]] bool haveAllResponded() const;
+    /// Returns the servers other than the primary that have started since the survey asked.
+    [[nodiscard]] std::vector<const BackendRecord *> lateServers(Instant now, const MonitorContext &context) const;
+    /// Stops servers that have started since the survey, and a primary that has, from acknowledging commits.
+    void pauseLateServers(Instant now, const MonitorContext &context);
+    bool onLateProbe(Instant now, const ProbeOutcome &outcome, const MonitorContext &context);
+    void logWithoutCandidate(Instant now, const MonitorContext &context) const;
+    /// Tells whether a server that has not sent a heartbeat yet may hold more than the \p best of the surveyed ones.
+    bool awaitsUnknownServer(Instant now, const LogPoint &best, const MonitorContext &context);
     void startSurvey(Instant now, const MonitorContext &context);
     void finishSurvey(Instant now, const MonitorContext &context);
     /// Records a surveyed server that leads the newest term as the primary. \returns whether there is one.
@@ -115,7 +131,7 @@
     std::optional<Instant> refusedSince_;
     std::optional<Instant> unreachableSince_;
     std::map<std::uint64_t, BackendId> probes_;
-    std::set<BackendId> surveyed_;
+    std::map<BackendId, std::int64_t> surveyed_; ///< Start time of each server that the survey asked.
     std::map<BackendId, ProbeOutcome> surveyOutcomes_;
     Term highestTerm_ = 0;
     std::set<BackendId> paused_; ///< Servers that may be paused, by this leader or by a former one.
@@ -128,6 +144,12 @@
     Instant retryAt_ {};
     std::optional<ProbeResult> lastProbeResult_;
     bool hasSteppedDown_ = false; ///< The primary has confirmed that it is a replica.
+    bool isPrimaryRefusing_ = false; ///< The primary does not run, or refuses connections.
+    LogPoint finalPoint_; ///< End of the log of the primary that has stepped down.
+    std::optional<Instant> awaitsServerSince_; ///< Since when no surveyed server has the log up to finalPoint_.
+    std::map<std::uint64_t, BackendId> latePauses_; ///< Pauses of servers that have started late, without an outcome.
+    std::uint64_t lateStepDown_ = 0; ///< Last probe that tells a primary which may have restarted to step down.
+    Instant lateStepDownAt_ {};
     bool isCallInFlight_ = false; ///< The last promotion has no outcome yet, or has been accepted.
     /// Earlier promotions without an outcome may be carried out until then. No value before the first tick.
     std::optional<Instant> inDoubtUntil_;
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -29,6 +29,11 @@
     Duration deposedTimeout = std::chrono::milliseconds(300);
     /// A primary that most entries cannot reach for longer than this is replaced.
     Duration unreachableTimeout = std::chrono::milliseconds(1000);
+    /// Where the platform fences, a primary that has not confirmed by then that it is a replica counts as unreachable.
+    Duration stepDownTimeout = std::chrono::milliseconds(250);
+    /// How long a survey waits for a server that has received commits of the former primary and has sent no heartbeat
+    /// yet. A server sends another heartbeat after a second without a response.
+    Duration maxFirstHeartbeatDelay = std::chrono::milliseconds(1500);
     /// How long backend servers have to report their positions.
     Duration surveyTimeout = std::chrono::milliseconds(200);
     /// Timeout of the platform's response to a promotion.
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -17,7 +17,7 @@
 
 bool PrimaryMonitor::isFailingOver() const
 {
-    return stage_ != Stage::Monitoring && stage_ != Stage::FindingPrimary;
+    return stage_ != Stage::Monitoring && stage_ != Stage::FindingPrimary && stage_ != Stage::CheckingReplicas;
 }
 
 Duration PrimaryMonitor::expectedRemaining(
@@ -29,8 +29,9 @@
     const Duration elapsed = now - enteredAt_;
     switch (stage_) {
     case Stage::Withdrawing: {
-        const Duration release
-            = elapsed < UsualReleaseTime ? UsualReleaseTime - elapsed : leases.expiresAt(now, service_) - now;
+        const Instant lastExpiry = leases.policy() == FencingPolicy::Platform ? enteredAt_ + timing_.stepDownTimeout
+                                                                              : leases.expiresAt(now, service_);
+        const Duration release = elapsed < UsualReleaseTime ? UsualReleaseTime - elapsed : lastExpiry - now;
         return release + UsualSurveyTime + forecast.promotionTime();
     }
     case Stage::AwaitingRole:
@@ -60,6 +61,9 @@
     case Stage::Monitoring:
         monitor(now, context);
         break;
+    case Stage::CheckingReplicas:
+        finishCheck(now, context);
+        break;
     case Stage::Withdrawing:
         awaitRelease(now, context);
         break;
@@ -72,8 +76,10 @@
         }
         break;
     case Stage::Promoting:
+        pauseLateServers(now, context);
         break;
     case Stage::AwaitingRole:
+        pauseLateServers(now, context);
         awaitPrimaryRole(now, context);
         break;
     }
@@ -252,11 +258,17 @@
         { { "service", std::string_view(service_.value) },
             { "primary", std::string_view(primary == nullptr ? "" : primary->backend.value) }, { "reason", reason },
             { "proof_age_ms", now - confirmedAt_ }, { "candidates", std::uint64_t { candidates.size() } } });
+    hasSteppedDown_ = false;
+    isPrimaryRefusing_ = false;
+    awaitsServerSince_.reset();
     if (context.leases.policy() == FencingPolicy::Platform) {
-        startSurvey(now, context);
+        if (mustPauseReplication(context)) {
+            checkReplicas(now, context);
+        } else {
+            startSurvey(now, context);
+        }
         return;
     }
-    hasSteppedDown_ = false;
     const BackendRecord *former = primary == nullptr ? nullptr : context.state.find(primary->backend);
     context.leases.withdraw(now, service_, context.nextId(), former == nullptr ? ZoneId {} : former->zone,
         [&](const VmId &entry) { return primary == nullptr || context.entries.mayConnect(entry, primary->backend); });
@@ -289,6 +301,9 @@
         resumes_.erase(resumed);
         return true;
     }
+    if (onLateProbe(now, outcome, context)) {
+        return true;
+    }
     const auto found = probes_.find(outcome.probeId);
     if (found == probes_.end()) {
         return false;
@@ -297,16 +312,18 @@
     probes_.erase(found);
     highestTerm_ = std::max({ highestTerm_, outcome.term, outcome.ownTerm });
     if (stage_ == Stage::Withdrawing) {
-        if (outcome.result == ProbeResult::Responded && !outcome.claimsPrimary) {
-            hasSteppedDown_ = true;
-            awaitRelease(now, context);
-        }
+        hasSteppedDown_ = outcome.result == ProbeResult::Responded && !outcome.claimsPrimary;
+        isPrimaryRefusing_ = outcome.result == ProbeResult::Refused;
+        finalPoint_ = outcome.received;
+        awaitRelease(now, context);
         return true;
     }
-    if (stage_ == Stage::Surveying) {
+    if (stage_ == Stage::Surveying || stage_ == Stage::CheckingReplicas) {
         surveyOutcomes_[backend] = outcome;
-        if (probes_.empty()) {
+        if (probes_.empty() && stage_ == Stage::Surveying) {
             finishSurvey(now, context);
+        } else if (probes_.empty()) {
+            finishCheck(now, context);
         }
         return true;
     }
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -16,9 +16,18 @@
     }
 }
 
+bool PrimaryMonitor::isPrimaryLost(Instant now, const MonitorContext &context) const
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    return isPrimaryRefusing_ || now - enteredAt_ >= timing_.stepDownTimeout || primary == nullptr
+        || context.state.find(primary->backend) == nullptr;
+}
+
 void PrimaryMonitor::awaitRelease(Instant now, const MonitorContext &context)
 {
-    const bool isReleased = context.leases.isReleased(now, service_);
+    const bool isReleased = context.leases.policy() == FencingPolicy::Platform
+        ? isPrimaryLost(now, context)
+        : context.leases.isReleased(now, service_);
     if (!isReleased && !hasSteppedDown_) {
         if (probes_.empty() && now - probedAt_ >= timing_.probeInterval) {
             stepDown(now, context);
@@ -58,6 +67,10 @@
     if (stage_ != Stage::Proposing || decision.service != service_ || decision.proposalId != proposalId_) {
         return false;
     }
+    if (mustPauseReplication(context) && !lateServers(now, context).empty()) {
+        startSurvey(now, context);
+        return true;
+    }
     token_ = index;
     enterStage(now, Stage::Promoting);
     const auto outcome = surveyOutcomes_.find(candidate_);
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -56,24 +56,141 @@
     }
 }
 
+// A primary that steps down can't take the role back by itself, so that it keeps the role until a survey can succeed.
+void PrimaryMonitor::checkReplicas(Instant now, const MonitorContext &context)
+{
+    enterStage(now, Stage::CheckingReplicas);
+    askReplicas(now, context, ProbeKind::Status);
+}
+
+void PrimaryMonitor::finishCheck(Instant now, const MonitorContext &context)
+{
+    if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
+        return;
+    }
+    if (!haveAllResponded()) {
+        logWithoutCandidate(now, context);
+        retryAfter(now, timing_.promotionRetryDelay, context);
+        return;
+    }
+    enterStage(now, Stage::Withdrawing);
+    stepDown(now, context);
+    awaitRelease(now, context);
+}
+
 void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
 {
-    const PrimaryRecord *primary = context.state.primaryOf(service_);
-    const std::vector<const BackendRecord *> candidates
-        = replicas(now, context, primary == nullptr ? BackendId {} : primary->backend);
     enterStage(now, Stage::Surveying);
     pauseTerm_ = highestTerm_ + 1;
     resumes_.clear();
+    latePauses_.clear();
+    askReplicas(now, context, mustPauseReplication(context) ? ProbeKind::Pause : ProbeKind::Status);
+}
+
+void PrimaryMonitor::askReplicas(Instant now, const MonitorContext &context, ProbeKind kind)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
     surveyed_.clear();
     surveyOutcomes_.clear();
-    for (const BackendRecord *backend : candidates) {
-        surveyed_.insert(backend->id);
-        if (mustPauseReplication(context)) {
+    for (const BackendRecord *backend : replicas(now, context, primary == nullptr ? BackendId {} : primary->backend)) {
+        surveyed_[backend->id] = backend->startedAtMs;
+        if (kind == ProbeKind::Pause) {
             paused_.insert(backend->id);
         }
-        probe(context, *backend, mustPauseReplication(context) ? ProbeKind::Pause : ProbeKind::Status,
-            timing_.surveyTimeout);
+        probe(context, *backend, kind, timing_.surveyTimeout);
+    }
+}
+
+bool PrimaryMonitor::haveAllResponded() const
+{
+    return std::all_of(surveyed_.begin(), surveyed_.end(), [this](const auto &surveyed) {
+        const auto found = surveyOutcomes_.find(surveyed.first);
+        return found != surveyOutcomes_.end() && found->second.result == ProbeResult::Responded;
+    });
+}
+
+std::vector<const BackendRecord *> PrimaryMonitor::lateServers(Instant now, const MonitorContext &context) const
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    std::vector<const BackendRecord *> late;
+    for (const BackendRecord *backend : replicas(now, context, primary == nullptr ? BackendId {} : primary->backend)) {
+        const auto surveyed = surveyed_.find(backend->id);
+        if (surveyed == surveyed_.end() || surveyed->second != backend->startedAtMs) {
+            late.push_back(backend);
+        }
     }
+    return late;
+}
+
+// A server that starts after the survey isn't paused, and forgets an earlier pause. Commits that it acknowledges before
+// the promotion takes effect are lost, so it is paused as soon as it is known. That alone leaves the time until its
+// first heartbeat; a primary that has stepped down closes it, unless the primary itself restarts meanwhile.
+void PrimaryMonitor::pauseLateServers(Instant now, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    if (!mustPauseReplication(context) || (primary != nullptr && primary->backend == candidate_)) {
+        return;
+    }
+    const auto ask = [&](const BackendRecord &backend, ProbeKind kind) {
+        const std::uint64_t probeId = context.nextId();
+        context.emit(ProbeBackend { probeId, backend, kind, pauseTerm_, timing_.surveyTimeout });
+        return probeId;
+    };
+    for (const BackendRecord *backend : lateServers(now, context)) {
+        surveyed_[backend->id] = backend->startedAtMs;
+        paused_.insert(backend->id);
+        latePauses_[ask(*backend, ProbeKind::Pause)] = backend->id;
+    }
+    const BackendRecord *former = primary == nullptr ? nullptr : context.state.find(primary->backend);
+    if (former != nullptr && now - lateStepDownAt_ >= timing_.probeInterval) {
+        lateStepDownAt_ = now;
+        lateStepDown_ = ask(*former, ProbeKind::StepDown);
+    }
+}
+
+bool PrimaryMonitor::onLateProbe(Instant now, const ProbeOutcome &outcome, const MonitorContext &context)
+{
+    const auto found = latePauses_.find(outcome.probeId);
+    if (found == latePauses_.end()) {
+        return outcome.probeId == lateStepDown_;
+    }
+    const BackendId backend = std::move(found->second);
+    latePauses_.erase(found);
+    if (outcome.result != ProbeResult::Responded) {
+        surveyed_.erase(backend); // Asks again.
+        return true;
+    }
+    const auto candidate = surveyOutcomes_.find(candidate_);
+    const bool isAhead = candidate != surveyOutcomes_.end() && outcome.ownTerm < pauseTerm_
+        && outcome.received > candidate->second.received;
+    context.metrics.add("servers_paused_late_total");
+    context.log.log(now, isAhead ? "failover.overtaken" : "failover.late-server",
+        { { "service", std::string_view(service_.value) }, { "backend", std::string_view(backend.value) },
+            { "position", outcome.received.position }, { "candidate", std::string_view(candidate_.value) },
+            { "stepped_down", hasSteppedDown_ } });
+    return true;
+}
+
+void PrimaryMonitor::logWithoutCandidate(Instant now, const MonitorContext &context) const
+{
+    context.log.log(now, "failover.no-candidate",
+        { { "service", std::string_view(service_.value) }, { "answered", std::uint64_t { surveyOutcomes_.size() } },
+            { "asked", std::uint64_t { surveyed_.size() } } });
+}
+
+// Commits that only the former primary and a server without a heartbeat have received may have been acknowledged.
+bool PrimaryMonitor::awaitsUnknownServer(Instant now, const LogPoint &best, const MonitorContext &context)
+{
+    if (!mustPauseReplication(context) || !hasSteppedDown_ || best >= finalPoint_) {
+        return false;
+    }
+    if (!awaitsServerSince_) {
+        awaitsServerSince_ = now;
+        context.log.log(now, "failover.awaits-server",
+            { { "service", std::string_view(service_.value) }, { "position", best.position },
+                { "primary_position", finalPoint_.position } });
+    }
+    return now - *awaitsServerSince_ < timing_.maxFirstHeartbeatDelay;
 }
 
 // Servers ignore a pause of a term that they know already, and a new leader has not seen any term yet.
@@ -118,7 +235,7 @@
     if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
         return;
     }
-    if (mustPauseReplication(context) && !isPauseEffective()) {
+    if (mustPauseReplication(context) && (!isPauseEffective() || !lateServers(now, context).empty())) {
         startSurvey(now, context);
         return;
     }
@@ -145,18 +262,15 @@
         // Any other server could lose the role to this one at any time.
         best = context.state.find(*inDoubt);
     }
-    const bool haveAllResponded = std::all_of(surveyed_.begin(), surveyed_.end(), [this](const BackendId &id) {
-        const auto found = surveyOutcomes_.find(id);
-        return found != surveyOutcomes_.end() && found->second.result == ProbeResult::Responded;
-    });
-    if (best == nullptr || (mustPauseReplication(context) && !haveAllResponded)) {
-        context.log.log(now, "failover.no-candidate",
-            { { "service", std::string_view(service_.value) }, { "answered", std::uint64_t { surveyOutcomes_.size() } },
-                { "asked", std::uint64_t { surveyed_.size() } } });
+    if (best == nullptr || (mustPauseReplication(context) && !haveAllResponded())) {
+        logWithoutCandidate(now, context);
         resumeUnlessInDoubt(now, context);
         retryAfter(now, timing_.promotionRetryDelay, context);
         return;
     }
+    if (!candidateInDoubt(now, context) && awaitsUnknownServer(now, surveyOutcomes_.at(best->id).received, context)) {
+        return;
+    }
     candidate_ = best->id;
     proposePromotion(now, context);
 }
--- a/unittests/forgottenpause/forgottenpausetest.cpp
+++ b/unittests/forgottenpause/forgottenpausetest.cpp
@@ -12,7 +12,7 @@
 TEST(ForgottenPause, PromotedServerHoldsEveryAcknowledgedCommit)
 {
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-        ReplicationSimulation simulation(3, seed, true);
+        ReplicationSimulation simulation(3, seed, ReplicationFaults::AnyServerForgets);
         simulation.run(8s);
         CHECK_EQUAL(std::string(), simulation.violation);
     }
--- a/unittests/supervision/replicationsimulation.cpp
+++ b/unittests/supervision/replicationsimulation.cpp
@@ -8,8 +8,8 @@
 
 static const ServiceId Service { "s" };
 
-ReplicationSimulation::ReplicationSimulation(std::size_t servers, std::uint64_t seed, bool forgetsPauses)
-    : random_(seed), forgetsPauses_(forgetsPauses)
+ReplicationSimulation::ReplicationSimulation(std::size_t servers, std::uint64_t seed, ReplicationFaults faults)
+    : random_(seed), faults_(faults)
 {
     for (std::size_t index = 0; index < servers; ++index) {
         servers_.push_back({ "b" + std::to_string(index) });
@@ -85,7 +85,7 @@
 void ReplicationSimulation::replicate()
 {
     Server &primary = servers_[primary_];
-    if (!primary.isUp) {
+    if (!primary.isUp || primary.hasSteppedDown) {
         return;
     }
     constexpr Duration CommitInterval = 20ms;
@@ -124,24 +124,48 @@
 // A server returns with its log.
 void ReplicationSimulation::restart(Server &server)
 {
-    server.pauseTerm = forgetsPauses_ ? 0 : server.pauseTerm;
+    if (faults_ != ReplicationFaults::AnyServer) {
+        server.pauseTerm = 0;
+        server.hasSteppedDown = false;
+    }
     server.startedAtMs = nextStart_++;
 }
 
+// A new server begins with the log of the primary and receives before its first heartbeat.
+void ReplicationSimulation::startServer()
+{
+    constexpr std::size_t MaxServers = 12;
+    if (servers_.size() >= MaxServers || !servers_[primary_].isUp) {
+        return;
+    }
+    Server added { "b" + std::to_string(servers_.size()) };
+    added.startedAtMs = nextStart_++;
+    added.term = servers_[primary_].term;
+    added.log = servers_[primary_].log;
+    added.heartbeatsFrom = now_ + std::chrono::milliseconds(draw(300));
+    servers_.push_back(std::move(added));
+    schedule(servers_.back().heartbeatsFrom - now_, [this, index = servers_.size() - 1]() { sendHeartbeat(index); });
+}
+
 void ReplicationSimulation::sendHeartbeats()
 {
     for (std::size_t index = 0; index < servers_.size(); ++index) {
-        const Server &server = servers_[index];
-        if (!server.isUp || !server.reachesControl || !isLeading_) {
-            continue;
-        }
-        BackendHeartbeat heartbeat;
-        heartbeat.record = { BackendId { server.name }, server.startedAtMs, Service, "10.0.0." + std::to_string(index),
-            80, {}, 2, server.isDraining, index == primary_ };
-        heartbeat.sequence = ++sequence_;
-        supervisor_.onRequest(now_, sequence_, heartbeat);
-        performActions();
+        sendHeartbeat(index);
+    }
+}
+
+void ReplicationSimulation::sendHeartbeat(std::size_t index)
+{
+    const Server &server = servers_[index];
+    if (!server.isUp || !server.reachesControl || !isLeading_ || now_ < server.heartbeatsFrom) {
+        return;
     }
+    BackendHeartbeat heartbeat;
+    heartbeat.record = { BackendId { server.name }, server.startedAtMs, Service, "10.0.0." + std::to_string(index), 80,
+        {}, 2, server.isDraining, index == primary_ && !server.hasSteppedDown };
+    heartbeat.sequence = ++sequence_;
+    supervisor_.onRequest(now_, sequence_, heartbeat);
+    performActions();
 }
 
 void ReplicationSimulation::endFaults()
@@ -161,7 +185,13 @@
     const std::size_t index
         = holdsOneIn(3) ? primary_ : static_cast<std::size_t>(draw(static_cast<int>(servers_.size())));
     Server &server = servers_[index];
-    switch (draw(9)) {
+    const int kind = draw(9);
+    const bool isSpared = index == primary_ || server.hasSteppedDown;
+    const bool sparesPrimary = faults_ == ReplicationFaults::ReplicasThatForget;
+    if (sparesPrimary && ((isSpared && kind <= 2) || kind == 4 || kind == 5)) {
+        return;
+    }
+    switch (kind) {
     case 0:
         server.isUp = false;
         schedule(lasting, [this, &server]() {
@@ -179,10 +209,12 @@
         break;
     case 3:
         server.isDraining = true;
-        schedule(lasting + 1s, [this, &server]() {
+        schedule(lasting + 1s, [this, &server, sparesPrimary]() {
             // Another process gets its log.
             server.isDraining = false;
-            restart(server);
+            if (!sparesPrimary || &server != &servers_[primary_]) {
+                restart(server);
+            }
         });
         break;
     case 4:
@@ -196,6 +228,11 @@
     case 6:
         changeLeader();
         break;
+    case 7:
+        if (faults_ != ReplicationFaults::AnyServer) {
+            startServer();
+        }
+        break;
     default:
         break;
     }
@@ -247,11 +284,16 @@
     ProbeOutcome outcome;
     outcome.probeId = probe.probeId;
     const bool isLost = !server.reachesControl || (losesProbes_ && holdsOneIn(3));
-    const bool isPrimary = &server == &servers_[primary_];
+    const bool leads = &server == &servers_[primary_];
+    if (leads && server.isUp && server.reachesControl && probe.kind == ProbeKind::StepDown
+        && probe.pauseTerm > server.term) {
+        server.hasSteppedDown = true;
+    }
+    const bool isPrimary = leads && !server.hasSteppedDown;
     if (!server.isUp) {
         outcome.result = ProbeResult::Refused;
     } else if (server.reachesControl) {
-        if (probe.kind == ProbeKind::Pause && probe.pauseTerm > server.term && !isPrimary) {
+        if (probe.kind == ProbeKind::Pause && probe.pauseTerm > server.term && !leads) {
             server.pauseTerm = std::max(server.pauseTerm, probe.pauseTerm);
         } else if (probe.kind == ProbeKind::Resume) {
             server.pauseTerm = 0;
@@ -278,7 +320,9 @@
 void ReplicationSimulation::callPlatform(const PromoteThroughPlatform &call)
 {
     Server &server = *find(call.backend);
-    const auto index = static_cast<std::size_t>(&server - servers_.data());
+    const auto index = static_cast<std::size_t>(
+        std::find_if(servers_.begin(), servers_.end(), [&](const Server &other) { return &other == &server; })
+        - servers_.begin());
     PromotionOutcome outcome = PromotionOutcome::Accepted;
     Duration delay = 2ms;
     if (call.leaderTerm != leaderTerm_ || holdsOneIn(20)) {
@@ -322,6 +366,7 @@
     primary_ = index;
     for (Server &other : servers_) {
         other.pauseTerm = 0;
+        other.hasSteppedDown = false;
     }
 }
 
--- a/unittests/supervision/replicationsimulation.h
+++ b/unittests/supervision/replicationsimulation.h
@@ -4,17 +4,26 @@
 
 #include "daisyrelay/supervision.h"
 
+#include <deque>
 #include <map>
 #include <random>
 
 namespace daisyrelay {
 
+/// Which faults a ReplicationSimulation draws.
+enum class ReplicationFaults : std::uint8_t {
+    AnyServer, ///< A server that restarts remembers its pause; no server is new.
+    ReplicasThatForget, ///< As AnyServerForgets, but the primary runs and can be reached until it is replaced, and the
+                        ///< platform answers in time.
+    AnyServerForgets, ///< A server that restarts receives from the primary at once, and a primary that has stepped down
+                      ///< leads again, even if a promotion is under way. New servers start at any time.
+};
+
 class ReplicationSimulation
 {
 public:
-    /// With \p forgetsPauses a server that restarts receives from the primary at once, even if a promotion is under
-    /// way. No survey can rule that out; without it, a server stays paused.
-    ReplicationSimulation(std::size_t servers, std::uint64_t seed, bool forgetsPauses = false);
+    ReplicationSimulation(
+        std::size_t servers, std::uint64_t seed, ReplicationFaults faults = ReplicationFaults::AnyServer);
 
     /// Runs for \p duration with faults drawn from the seed, then for a time without.
     void run(Duration duration);
@@ -32,6 +41,8 @@
         bool isDraining = false;
         bool reachesControl = true;
         bool receives = true; ///< Whether the network passes on commits of the primary.
+        bool hasSteppedDown = false;
+        Instant heartbeatsFrom {}; ///< The first heartbeat arrives at this time or later.
         Term term = 1; ///< Of the primary that it follows or is.
         Term pauseTerm = 0; ///< While set, no primary of a lower term is followed.
         std::vector<std::uint64_t> log; ///< Numbers of commits.
@@ -43,6 +54,8 @@
     void step();
     void replicate();
     void restart(Server &server);
+    void startServer();
+    void sendHeartbeat(std::size_t index);
     void sendHeartbeats();
     void drawFault();
     void endFaults();
@@ -58,12 +71,12 @@
 
     Instant now_ { std::chrono::hours(1) };
     std::mt19937_64 random_;
-    bool forgetsPauses_;
+    ReplicationFaults faults_;
     EventLog log_ { [](std::string_view) {} };
     Metrics metrics_;
     Supervisor supervisor_ { log_, metrics_, 1 };
     std::multimap<Instant, std::function<void()>> events_;
-    std::vector<Server> servers_;
+    std::deque<Server> servers_; ///< Servers that are added leave the others where they are.
     std::size_t primary_ = 0;
     Term term_ = 1;
     std::uint64_t highestToken_ = 0;
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -160,10 +160,11 @@
     unresponsive = { "b0", "b2" };
     advance(2s);
     CHECK(promotions.empty()); // Only b2, which does not respond, may hold an acknowledged write.
-    CHECK(std::find(probeKinds.begin(), probeKinds.end(), ProbeKind::Pause) != probeKinds.end());
     unresponsive = { "b0" };
+    probeKinds.clear();
     advance(1s);
     CHECK_EQUAL(1U, promotions.size());
+    CHECK(std::find(probeKinds.begin(), probeKinds.end(), ProbeKind::Pause) != probeKinds.end());
 }
 
 TEST(Supervisor, LostLeadershipFailsPendingRequests)
--- a/unittests/supervision/synchronousreplicationproperty.cpp
+++ b/unittests/supervision/synchronousreplicationproperty.cpp
@@ -36,3 +36,17 @@
         CHECK(simulation.commitsInLastSeconds > 0);
     }
 }
+
+// Servers that start between the survey and the effect of a promotion, new ones and those that forget their pause, lost
+// the commits that the primary acknowledged with their help.
+TEST(SynchronousReplicationProperty, ServersThatStartDuringAPromotionLoseNoCommit)
+{
+    std::size_t promotions = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        ReplicationSimulation simulation(3, seed, ReplicationFaults::ReplicasThatForget);
+        simulation.run(8s);
+        CHECK_EQUAL(std::string(), simulation.violation);
+        promotions += simulation.promotionCount;
+    }
+    CHECK(promotions > 100);
+}
--- a/unittests/supervision/synchronousreplicationtest.cpp
+++ b/unittests/supervision/synchronousreplicationtest.cpp
@@ -110,10 +110,12 @@
 TEST(SynchronousReplication, ReplicasReceiveAgainOnceThePrimaryIsConfirmed)
 {
     startService(1);
-    unresponsive = { "b0", "b2" };
+    unresponsive = { "b0" };
+    unresponsiveToPauses = { "b2" };
     advance(1s);
     CHECK(promotions.empty());
     unresponsive.clear();
+    unresponsiveToPauses.clear();
     probes.clear();
     advance(500ms);
     CHECK(mayReceive(probes, "b2"));
@@ -124,7 +126,8 @@
 TEST(SynchronousReplication, ReplicasReceiveAgainAfterASurveyWithoutResult)
 {
     startService(1);
-    unresponsive = { "b0", "b2" };
+    unresponsive = { "b0" };
+    unresponsiveToPauses = { "b2" };
     advance(1s);
     CHECK(promotions.empty());
     unresponsive.erase("b0");
@@ -136,9 +139,11 @@
 TEST(SynchronousReplication, NewLeaderLetsReplicasReceiveAgain)
 {
     startService(1);
-    unresponsive = { "b0", "b2" };
+    unresponsive = { "b0" };
+    unresponsiveToPauses = { "b2" };
     advance(1s);
     unresponsive.clear();
+    unresponsiveToPauses.clear();
     supervisor.onLeadership(now, false, 1, {});
     supervisor.onLeadership(now, true, 1, { VmId { "c" } });
     probes.clear();
