Do not promote two servers in turn by calls of two leaders

Where commits wait for a replica, an acknowledged commit was lost after calls for a promotion whose outcome is unknown.

A promotion ends all pauses, so that the positions of the survey are final no more, and commits of the server promoted first are missing on the second one.

Change: the survey is repeated if a server has claimed the role, or a higher term was seen, since it began. Among equal servers that of the pending call is promoted again. A claimant is adopted only after a call for it with a higher token while a call for another server may still be carried out. A candidate whose accepted promotion had no effect gives way to an equal one: the platform ignores calls for the server that it considers the primary.

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -84,6 +84,8 @@
     [[nodiscard]] bool haveAllResponded() const;
     /// Returns the servers other than the primary that have started since the survey asked.
     [[nodiscard]] std::vector<const BackendRecord *> lateServers(Instant now, const MonitorContext &context) const;
+    /// Tells whether a server has started, or taken the primary role, since the survey asked.
+    [[nodiscard]] bool isSurveyOutdated(Instant now, const MonitorContext &context) const;
     /// Stops servers that have started since the survey, and a primary that has, from acknowledging commits.
     void pauseLateServers(Instant now, const MonitorContext &context);
     bool onLateProbe(Instant now, const ProbeOutcome &outcome, const MonitorContext &context);
@@ -132,13 +134,17 @@
     std::optional<Instant> unreachableSince_;
     std::map<std::uint64_t, BackendId> probes_;
     std::map<BackendId, std::int64_t> surveyed_; ///< Start time of each server that the survey asked.
+    std::set<BackendId> claimants_; ///< Servers whose records claimed the primary role when the survey began.
     std::map<BackendId, ProbeOutcome> surveyOutcomes_;
     Term highestTerm_ = 0;
+    Term highestOwnTerm_ = 0; ///< Highest term of a primary that any server leads or follows.
     std::set<BackendId> paused_; ///< Servers that may be paused, by this leader or by a former one.
     std::map<std::uint64_t, BackendId> resumes_; ///< Resume probes without an outcome.
     Instant resumedAt_ {};
     Term pauseTerm_ = 0; ///< Term of the pauses of the current survey.
     BackendId candidate_;
+    BackendId ineffective_; ///< Last candidate whose accepted promotion had no effect: the platform may consider it the
+                            ///< primary although it has stepped down.
     std::uint64_t proposalId_ = 0;
     std::uint64_t token_ = 0;
     Instant retryAt_ {};
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -224,7 +224,9 @@
         return;
     }
     // A promotion with an unknown outcome may have succeeded. The new primary is then found by the role that it claims.
-    if (failure == "deposed") {
+    const PrimaryRecord *pending = context.state.pendingPromotionOf(service_);
+    const bool mustFence = mustPauseReplication(context) && pending != nullptr && now < inDoubtUntil_.value_or(now);
+    if (failure == "deposed" && !mustFence) {
         for (const auto &[id, other] : context.state.backends()) {
             if (other.service == service_ && other.claimsPrimary && id != primary->backend) {
                 proposePrimary(now, context, id, "it says so");
@@ -301,6 +303,7 @@
         resumes_.erase(resumed);
         return true;
     }
+    highestOwnTerm_ = std::max(highestOwnTerm_, outcome.ownTerm);
     if (onLateProbe(now, outcome, context)) {
         return true;
     }
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -67,7 +67,7 @@
     if (stage_ != Stage::Proposing || decision.service != service_ || decision.proposalId != proposalId_) {
         return false;
     }
-    if (mustPauseReplication(context) && !lateServers(now, context).empty()) {
+    if (mustPauseReplication(context) && isSurveyOutdated(now, context)) {
         startSurvey(now, context);
         return true;
     }
@@ -139,6 +139,7 @@
     }
     if (backend == nullptr || now - enteredAt_ > timing_.promotionEffectTimeout) {
         isCallInFlight_ = false;
+        ineffective_ = candidate_;
         inDoubtUntil_ = now + timing_.maxPromotionDelay;
         retryAfter(now, Duration::zero(), context);
         return;
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -92,6 +92,12 @@
     const PrimaryRecord *primary = context.state.primaryOf(service_);
     surveyed_.clear();
     surveyOutcomes_.clear();
+    claimants_.clear();
+    for (const auto &[id, backend] : context.state.backends()) {
+        if (backend.service == service_ && backend.claimsPrimary) {
+            claimants_.insert(id);
+        }
+    }
     for (const BackendRecord *backend : replicas(now, context, primary == nullptr ? BackendId {} : primary->backend)) {
         surveyed_[backend->id] = backend->startedAtMs;
         if (kind == ProbeKind::Pause) {
@@ -171,6 +177,18 @@
     return true;
 }
 
+// A promotion that takes effect ends all pauses, so that the positions of an earlier survey are final no more.
+bool PrimaryMonitor::isSurveyOutdated(Instant now, const MonitorContext &context) const
+{
+    // The record of a former primary that has ended may still claim the role.
+    const auto hasTakenRoleSince = [this](const auto &entry) {
+        const auto &[id, backend] = entry;
+        return backend.service == service_ && backend.claimsPrimary && !claimants_.contains(id);
+    };
+    return highestOwnTerm_ >= pauseTerm_ || !lateServers(now, context).empty()
+        || std::any_of(context.state.backends().begin(), context.state.backends().end(), hasTakenRoleSince);
+}
+
 void PrimaryMonitor::logWithoutCandidate(Instant now, const MonitorContext &context) const
 {
     context.log.log(now, "failover.no-candidate",
@@ -219,6 +237,11 @@
         pending != nullptr && pending->backend == newest->first) {
         // The platform rejects the calls before this one.
         inDoubtUntil_ = Instant {};
+    } else if (pending != nullptr && now < inDoubtUntil_.value_or(Instant {})) {
+        // The platform may still carry out that call. It rejects it once it has seen a higher token.
+        candidate_ = newest->first;
+        proposePromotion(now, context);
+        return true;
     }
     proposePrimary(now, context, newest->first, "it says so");
     deposedSince_.reset();
@@ -235,7 +258,7 @@
     if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
         return;
     }
-    if (mustPauseReplication(context) && (!isPauseEffective() || !lateServers(now, context).empty())) {
+    if (mustPauseReplication(context) && (!isPauseEffective() || isSurveyOutdated(now, context))) {
         startSurvey(now, context);
         return;
     }
@@ -244,10 +267,14 @@
     }
     const BackendRecord *best = nullptr;
     const bool mayHoldSoleCopy = mustPauseReplication(context);
-    const auto rank = [this, mayHoldSoleCopy](const BackendRecord &backend) {
+    const PrimaryRecord *pending = mayHoldSoleCopy ? context.state.pendingPromotionOf(service_) : nullptr;
+    const auto rank = [&](const BackendRecord &backend) {
         const LogPoint received = surveyOutcomes_.at(backend.id).received;
         const bool stays = !backend.isDraining;
-        return std::tuple(mayHoldSoleCopy ? received : LogPoint {}, stays, received);
+        // A call of a former leader may be carried out between the survey and the effect of another promotion.
+        const bool isPending = pending != nullptr && pending->backend == backend.id;
+        const bool canTakeRole = !mayHoldSoleCopy || backend.id != ineffective_;
+        return std::tuple(mayHoldSoleCopy ? received : LogPoint {}, canTakeRole, isPending, stays, received);
     };
     for (const auto &[id, outcome] : surveyOutcomes_) {
         const BackendRecord *backend = context.state.find(id);
--- a/unittests/supervision/latereplicationtest.cpp
+++ b/unittests/supervision/latereplicationtest.cpp
@@ -2,31 +2,51 @@
 #include "supervisorfixture.h"
 
 #include <algorithm>
+#include <functional>
 
 using namespace daisyrelay;
 using namespace std::chrono_literals;
 
-TEST_GROUP_BASE(LateReplication, SupervisorFixture) { /// Returns the number of probes of \p kind that \p name got.
-    std::size_t countProbes(ProbeKind kind, const std::string &name)
-        const { return static_cast<std::size_t>(std::count_if(probes.begin(), probes.end(),
+struct LateReplicationFixture : SupervisorFixture {
+    /// Returns the number of probes of \p kind that \p name got.
+    std::size_t countProbes(ProbeKind kind, const std::string &name) const
+    {
+        return static_cast<std::size_t>(std::count_if(probes.begin(), probes.end(),
             [&](const ProbeBackend &probe) { return probe.kind == kind && probe.backend.id.value == name; }));
-}
+    }
 
-/// Drains the primary "b0" and runs until the platform has the call for the promotion.
-void replacePrimary()
-{
-    positions = { { "b0", { 1, 9 } }, { "b1", { 1, 9 } }, { "b2", { 1, 9 } } };
-    startService(1);
-    sendHeartbeat("b0", 2, 1, true);
-    for (int at = 0; promotions.empty() && at < 100; ++at) {
-        advance(10ms);
+    static bool isDecision(const SupervisionCommand &command)
+    {
+        return std::holds_alternative<DecidePromotion>(command);
+    }
+
+    /// Commits all proposals, the promotions after the others.
+    void commitDecisionsLast()
+    {
+        std::stable_partition(proposed.begin(), proposed.end(), std::not_fn(isDecision));
+        commitsImmediately = true;
+        while (!proposed.empty()) {
+            commitNext();
+        }
+        performActions();
     }
-    CHECK_EQUAL(1U, promotions.size());
-    supervisor.onPromotion(now, ServiceId { "s" }, promotions.front().fencingToken, PromotionOutcome::Accepted);
-    performActions();
-}
-}
-;
+
+    /// Drains the primary "b0" and runs until the platform has accepted a call for a promotion.
+    void replacePrimary()
+    {
+        positions = { { "b0", { 1, 9 } }, { "b1", { 1, 9 } }, { "b2", { 1, 9 } } };
+        startService(1);
+        sendHeartbeat("b0", 2, 1, true);
+        for (int at = 0; promotions.empty() && at < 100; ++at) {
+            advance(10ms);
+        }
+        CHECK_EQUAL(1U, promotions.size());
+        supervisor.onPromotion(now, ServiceId { "s" }, promotions.front().fencingToken, PromotionOutcome::Accepted);
+        performActions();
+    }
+};
+
+TEST_GROUP_BASE(LateReplication, LateReplicationFixture) {};
 
 // Commits that a primary acknowledges after the survey, with the help of a server that no survey has paused, are lost
 // with the promotion.
@@ -79,12 +99,7 @@
     }
     sendHeartbeat("b3", 1);
     positions["b3"] = { 1, 12 };
-    std::stable_partition(proposed.begin(), proposed.end(), std::not_fn(isDecision));
-    commitsImmediately = true;
-    while (!proposed.empty()) {
-        commitNext();
-    }
-    performActions();
+    commitDecisionsLast();
     advance(100ms);
     CHECK_EQUAL(1U, promotions.size());
     CHECK_EQUAL(std::string("b3"), promotions.front().backend.value);
@@ -148,3 +163,68 @@
     CHECK_EQUAL(1U, promotions.size());
     CHECK(steppedDown.empty());
 }
+
+// The call of a former leader takes effect between the survey and the next call: it ends all pauses, so that the
+// surveyed positions are no longer final.
+TEST(LateReplication, ServerThatTookTheRoleSinceTheSurveyKeepsIt)
+{
+    positions = { { "b0", { 1, 9 } }, { "b1", { 1, 9 } }, { "b2", { 1, 9 } } };
+    startService(1);
+    commitsImmediately = false;
+    sendHeartbeat("b0", 2, 1, true);
+    commitNext();
+    for (int at = 0; std::none_of(proposed.begin(), proposed.end(), isDecision) && at < 100; ++at) {
+        advance(10ms);
+    }
+    CHECK(std::any_of(proposed.begin(), proposed.end(), isDecision));
+    primaryName = "b2";
+    positions["b2"] = { 2, 12 };
+    sendHeartbeat("b2", 2);
+    commitDecisionsLast();
+    advance(2s);
+    CHECK(promotions.empty());
+    CHECK_EQUAL(std::string("b2"), primary());
+}
+
+// The platform may still carry out the call of a former leader for another server. It rejects that call once it has
+// seen a higher token.
+TEST(LateReplication, AdoptedPrimaryIsProtectedFromAnEarlierCall)
+{
+    replacePrimary();
+    const PromoteThroughPlatform earlier = promotions.front();
+    supervisor.onLeadership(now, false, 1, {});
+    supervisor.onLeadership(now, true, 1, { VmId { "c" } });
+    primaryName = earlier.backend.value == "b1" ? "b2" : "b1";
+    positions[primaryName] = { 2, 12 };
+    steppedDown.clear();
+    advance(1s);
+    CHECK_EQUAL(2U, promotions.size());
+    CHECK_EQUAL(primaryName, promotions.back().backend.value);
+    CHECK(promotions.back().fencingToken > earlier.fencingToken);
+    supervisor.onPromotion(now, ServiceId { "s" }, promotions.back().fencingToken, PromotionOutcome::Accepted);
+    advance(100ms);
+    CHECK_EQUAL(primaryName, primary());
+}
+
+// A new leader that chose another server than its predecessor would leave two calls that may both be carried out.
+TEST(LateReplication, NewLeaderRepeatsTheCallOfItsPredecessor)
+{
+    replacePrimary();
+    const BackendId former = promotions.front().backend;
+    supervisor.onLeadership(now, false, 1, {});
+    supervisor.onLeadership(now, true, 1, { VmId { "c" } });
+    sendHeartbeat(former.value, 2, 1, true); // Another server would be preferred otherwise.
+    advance(1s);
+    CHECK(promotions.size() > 1);
+    CHECK(promotions.back().backend == former);
+}
+
+// The platform ignores a call for the server that it considers the primary, even if that one has stepped down.
+TEST(LateReplication, CandidateThatDoesNotTakeTheRoleGivesWayToAnEqualOne)
+{
+    replacePrimary();
+    const BackendId former = promotions.front().backend;
+    advance(5s);
+    CHECK(promotions.size() > 1);
+    CHECK(promotions.back().backend != former);
+}
