Take a server out of the service that it has left

Cause: applyTopology updated the pool of a server whose record names another service, but left its id in the list of the former service. removePool took it from the new one only, and the next read of the former service looked up a pool that was gone. Until then the server also counted as one of the former service.

Such a record now removes the pool and adds a new one, so that the lists of all services and the pools agree after each update.

--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -223,6 +223,11 @@
     std::set<BackendId> present;
     for (const BackendRecord &record : topology.backends) {
         present.insert(record.id);
+        if (const BackendPool *pool = findPool(record.id);
+            pool != nullptr && pool->record().service != record.service) {
+            metrics_.add("backends_moved_total");
+            removePool(now, record.id);
+        }
         if (BackendPool *pool = findPool(record.id); pool != nullptr) {
             pool->update(now, record);
         } else {
--- a/unittests/proxy/twoserviceentry.h
+++ b/unittests/proxy/twoserviceentry.h
@@ -20,6 +20,7 @@
     std::optional<CallerResponse> response; ///< The last response to a caller.
     std::optional<ForwardedStatement> forwarded; ///< The last statement that was sent to another entry.
     std::uint64_t version = 0;
+    std::uint64_t topologyIndex = 1; ///< Of the last topology that the entry got.
     std::uint64_t nextStatement = 1;
 
     TwoServiceEntry()
@@ -27,7 +28,7 @@
         moveRoute("long");
         EntryUpdate update;
         Topology topology;
-        topology.index = 1;
+        topology.index = topologyIndex;
         const auto add = [&](const std::string &name, const std::string &service, bool isPrimary) {
             topology.backends.push_back(
                 { BackendId { name }, 1, ServiceId { service }, name, 80, ZoneId { "z0" }, 2, false, isPrimary });
