Keep a server that runs in place when a heartbeat conflicts with it

A heartbeat under its id from another service or address moved its record; one under another id from its address removed it; a start time or a sequence number that is too high made its own heartbeats outdated for good; so did a leave by anyone, and 30 s of lost heartbeats.

Cause: each heartbeat was believed, and the order of (start, sequence) only ever rose.

A server that has sent a heartbeat within 2 s keeps its service and address. A service without configuration is not recorded; its servers send again. A server whose heartbeats are outdated gets its place back after four of them, each newer than the one before, over 3 s, if nothing else was accepted under its id; its record gets the lowest start time that is not outdated. Late heartbeats of a process that has ended arrive close together and restore nothing.

--- a/include/daisyrelay/supervision/supervisionstate.h
+++ b/include/daisyrelay/supervision/supervisionstate.h
@@ -58,6 +58,12 @@
     /// Tells whether \p record belongs to an incarnation that has ended or been superseded.
     [[nodiscard]] bool isOutdated(const BackendRecord &record) const;
 
+    /// Returns the lowest start time, not below that of \p record, with which it is not outdated.
+    [[nodiscard]] std::int64_t nextStartOf(const BackendRecord &record) const;
+
+    /// Returns the server that is recorded at an address, or null.
+    [[nodiscard]] const BackendRecord *findAt(const std::string &host, std::uint16_t port) const;
+
     [[nodiscard]] std::string encode() const;
 
     /// \returns an error if \p bytes are damaged.
@@ -75,7 +81,6 @@
     bool applyCommand(std::uint64_t index, const CompleteLeaseHolders &command);
     void recordRemoved(std::uint64_t index, const BackendRecord &removed);
     void recordAddress(const BackendRecord &record);
-    [[nodiscard]] const BackendRecord *findAt(const std::string &host, std::uint16_t port) const;
 
     RouteConfiguration configuration_;
     std::string configurationSource_;
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -56,6 +56,11 @@
     Duration adoptionTimeout = std::chrono::milliseconds(3000);
     /// A server silent for longer than this has missed three or more heartbeats and is not promoted.
     Duration maxBackendSilence = std::chrono::milliseconds(4500);
+    /// A server that has sent a heartbeat within this time keeps its service and address. Longer than the interval
+    /// between two heartbeats.
+    Duration displacementDelay = std::chrono::seconds(2);
+    /// A server whose heartbeats have been rejected as outdated for this time, each newer than the one before, runs.
+    Duration proofOfLifeTime = std::chrono::seconds(3);
     /// A backend server silent for longer than this is removed.
     Duration backendExpiry = std::chrono::seconds(30);
     /// An entry silent for longer than this is removed from the table of lease holders. Its leases expired long before.
--- a/include/daisyrelay/supervision/supervisor.h
+++ b/include/daisyrelay/supervision/supervisor.h
@@ -8,6 +8,7 @@
 #include "daisyrelay/supervision/coordinatorslots.h"
 #include "daisyrelay/supervision/entryregistry.h"
 #include "daisyrelay/supervision/formatactivation.h"
+#include "daisyrelay/supervision/heartbeatadmission.h"
 #include "daisyrelay/supervision/leaseledger.h"
 #include "daisyrelay/supervision/leaseregistrar.h"
 #include "daisyrelay/supervision/primarymonitor.h"
@@ -92,6 +93,7 @@
     void handleRequest(Instant now, std::uint64_t requestId, const ReadConfiguration &read);
     void handleRequest(Instant now, std::uint64_t requestId, const BackendHeartbeat &heartbeat);
     void handleRequest(Instant now, std::uint64_t requestId, const BackendLeave &leave);
+    void logRejected(Instant now, const BackendHeartbeat &heartbeat, HeartbeatAdmission::Verdict verdict);
     void addPendingRequest(Instant now, std::uint64_t requestId, ControlRequest request);
     void respond(std::uint64_t requestId, ControlStatus status, std::string body = {});
     void respondToCompleted(Instant now);
@@ -139,9 +141,7 @@
     bool hasUnreadableCommand_ = false;
     CoordinatorSlots coordinators_;
     std::uint64_t nextUpdateNumber_ = 1;
-    std::map<BackendId, Instant> lastHeartbeatAt_;
-    /// Start time and sequence of the last accepted heartbeat.
-    std::map<BackendId, std::pair<std::int64_t, std::uint64_t>> lastHeartbeat_;
+    HeartbeatAdmission heartbeats_;
     std::map<VmId, ReportingControlVm> reportingControlVms_;
     std::map<ServiceId, PrimaryMonitor> monitors_;
     std::uint64_t monitoredTopology_ = 0; ///< Index of the topology whose services all have a monitor.
--- a/lib/supervision/controlrequests.cpp
+++ b/lib/supervision/controlrequests.cpp
@@ -41,31 +41,44 @@
 
 void Supervisor::handleRequest(Instant now, std::uint64_t requestId, const BackendHeartbeat &heartbeat)
 {
-    const BackendRecord &record = heartbeat.record;
-    const auto order = std::pair(record.startedAtMs, heartbeat.sequence);
-    auto &lastOrder = lastHeartbeat_[record.id];
-    if (state_.isOutdated(record) || order < lastOrder) {
-        metrics_.add("heartbeats_outdated_total");
-        log_.log(now, "heartbeat.outdated",
-            { { "backend", std::string_view(record.id.value) }, { "born_ms", record.startedAtMs },
-                { "sequence", heartbeat.sequence } });
+    const HeartbeatAdmission::Result admission = heartbeats_.admit(now, heartbeat, state_);
+    BackendHeartbeat accepted = heartbeat;
+    accepted.record.startedAtMs = admission.startedAtMs;
+    if (admission.verdict != HeartbeatAdmission::Verdict::Accepted) {
+        logRejected(now, heartbeat, admission.verdict);
         respond(requestId, ControlStatus::Done);
         return;
     }
-    lastOrder = order;
-    lastHeartbeatAt_[record.id] = now;
-    if (isCompleted(heartbeat)) {
+    if (isCompleted(accepted)) {
         respond(requestId, ControlStatus::Done);
         return;
     }
-    propose(RecordBackend { record });
-    addPendingRequest(now, requestId, heartbeat);
+    propose(RecordBackend { accepted.record });
+    addPendingRequest(now, requestId, std::move(accepted));
+}
+
+void Supervisor::logRejected(Instant now, const BackendHeartbeat &heartbeat, HeartbeatAdmission::Verdict verdict)
+{
+    const BackendRecord &record = heartbeat.record;
+    std::string_view event = "heartbeat.outdated";
+    if (verdict == HeartbeatAdmission::Verdict::Conflicting) {
+        event = "heartbeat.conflicting";
+    } else if (verdict == HeartbeatAdmission::Verdict::UnknownService) {
+        event = "heartbeat.unknown-service";
+    }
+    metrics_.add(
+        verdict == HeartbeatAdmission::Verdict::Outdated ? "heartbeats_outdated_total" : "heartbeats_unusable_total");
+    log_.log(now, event,
+        { { "backend", std::string_view(record.id.value) }, { "service", std::string_view(record.service.value) },
+            { "host", std::string_view(record.host) }, { "born_ms", record.startedAtMs },
+            { "sequence", heartbeat.sequence } });
 }
 
 void Supervisor::handleRequest(Instant now, std::uint64_t requestId, const BackendLeave &leave)
 {
     const BackendRecord *known = state_.find(leave.backend);
-    if (known == nullptr || (leave.startedAtMs != 0 && known->startedAtMs > leave.startedAtMs)) {
+    const std::int64_t startedAtMs = heartbeats_.recordedStart(leave.backend, leave.startedAtMs);
+    if (known == nullptr || (leave.startedAtMs != 0 && known->startedAtMs > startedAtMs)) {
         respond(requestId, ControlStatus::Done);
         return;
     }
--- a/lib/supervision/heartbeatdigests.cpp
+++ b/lib/supervision/heartbeatdigests.cpp
@@ -28,10 +28,8 @@
             metrics_.add("heartbeat_digest_unknown_servers_total");
             continue;
         }
-        auto &lastOrder = lastHeartbeat_[heard.backend];
-        lastOrder = std::max(lastOrder, std::pair(heard.startedAtMs, heard.sequence));
-        Instant &lastHeartbeatAt = lastHeartbeatAt_[heard.backend];
-        lastHeartbeatAt = std::max(lastHeartbeatAt, now - std::chrono::milliseconds(heard.ageMs));
+        heartbeats_.recordAnswered(
+            now, heard.backend, heard.startedAtMs, heard.sequence, std::chrono::milliseconds(heard.ageMs));
     }
     return HeartbeatDigestResponse { term_, digest.runId, digest.sequence, state_.topologyIndex(), heartbeatVms(now) };
 }
--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -1,6 +1,7 @@
 #include "daisyrelay/supervision/supervisionstate.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace daisyrelay {
 
@@ -155,6 +156,22 @@
         || (atAddress != nullptr && atAddress->id != record.id && atAddress->startedAtMs > record.startedAtMs);
 }
 
+std::int64_t SupervisionState::nextStartOf(const BackendRecord &record) const
+{
+    const auto after = [](std::int64_t startedAtMs) {
+        return startedAtMs == std::numeric_limits<std::int64_t>::max() ? startedAtMs : startedAtMs + 1;
+    };
+    std::int64_t start = record.startedAtMs;
+    for (const BackendRecord &removed : removed_) {
+        start = removed.id == record.id ? std::max(start, after(removed.startedAtMs)) : start;
+    }
+    if (const BackendRecord *known = find(record.id); known != nullptr && known->startedAtMs > record.startedAtMs) {
+        start = std::max(start, after(known->startedAtMs));
+    }
+    const BackendRecord *atAddress = findAt(record.host, record.port);
+    return atAddress == nullptr ? start : std::max(start, atAddress->startedAtMs);
+}
+
 const RouteConfiguration &SupervisionState::configuration() const
 {
     return configuration_;
--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -14,6 +14,7 @@
     , leaseRegistrar_(timing, [this](SupervisionCommand command) { propose(std::move(command)); })
     , formats_(log, metrics, timing)
     , coordinators_(log, metrics, timing)
+    , heartbeats_(timing)
     , nextId_(firstId)
 {
 }
@@ -48,8 +49,7 @@
     formats_.reset(now, state_.isEmpty());
     leaseRegistrar_.reset(now, state_.leaseHolders());
     coordinators_.reset(now, term);
-    lastHeartbeatAt_.clear();
-    lastHeartbeat_.clear();
+    heartbeats_.reset(now);
     reportingControlVms_.clear();
     configurationWindow_.reset();
     // A promotion that a former leader has decided may take effect at any time, so that no update may lift its
@@ -64,7 +64,7 @@
 
 MonitorContext Supervisor::context()
 {
-    return { state_, entries_, leases_, lastHeartbeatAt_, log_, metrics_, term_, [this]() { return nextId_++; },
+    return { state_, entries_, leases_, heartbeats_.lastHeartbeatAt(), log_, metrics_, term_, [this]() { return nextId_++; },
         [this](SupervisionAction action) {
             if (const auto *probe = std::get_if<ProbeBackend>(&action); probe != nullptr) {
                 serviceByProbe_[probe->probeId] = probe->backend.service;
@@ -217,9 +217,9 @@
     }
     silentBackendsCheckedAt_ = now;
     for (const auto &[id, backend] : state_.backends()) {
-        const auto lastHeartbeat = lastHeartbeatAt_.find(id);
+        const auto lastHeartbeat = heartbeats_.lastHeartbeatAt().find(id);
         const bool isSilent
-            = lastHeartbeat == lastHeartbeatAt_.end() || now - lastHeartbeat->second > timing_.backendExpiry;
+            = lastHeartbeat == heartbeats_.lastHeartbeatAt().end() || now - lastHeartbeat->second > timing_.backendExpiry;
         if (isSilent && now - removalProposedAt_[id] > timing_.commitTimeout) {
             removalProposedAt_[id] = now;
             propose(RemoveBackend { id, backend.startedAtMs });
