Check the range of what other writers send

An entry with numbers that are too large was recorded: a start or sequence number of 1e18 made the heartbeats of the server itself outdated, a number of slots above 32 bits was cut to another one, an address that is none was given to the entries to connect to, and a leave with a body that can't be read made the server leave. In a configuration, a time of 9e18 ms overflowed when it was added to a point in time, so that the statement was late at once, and a limit above 32 bits became another number.

Nesting beyond 32 levels and numbers beyond a double were rejected before; the tests now say so for heartbeats, leaves and configurations (100,000 levels).

--- a/unittests/platform/controlapitest.cpp
+++ b/unittests/platform/controlapitest.cpp
@@ -113,6 +113,65 @@
     CHECK_EQUAL(404, statusOf(post("/-/Unknown", "{}")));
 }
 
+static std::string nest(const std::string &opening, const std::string &closing, int depth)
+{
+    std::string text;
+    for (int at = 0; at < depth; ++at) {
+        text += opening;
+    }
+    text += "1";
+    for (int at = 0; at < depth; ++at) {
+        text += closing;
+    }
+    return text;
+}
+
+// An entry that another writer leaves: nested deeply, numbers too large, a port out of range, or an address that is
+// none. It must name no server, and must not end the process or make a server leave.
+TEST(ControlApi, RejectsOddEntries)
+{
+    const std::string body = R"({"Service":"s","Addr":"10.0.0.9:8080","Zone":"z","Slots":3,)"
+                             R"("State":"ready","DbRole":"replica","Seq":4,"born":1781115975248})";
+    CHECK_EQUAL(0, statusOf(post("/-/Instances.Heartbeat/i-7", body)));
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> { { "\"Seq\":4", "\"Seq\":1e18" },
+             { "\"Seq\":4", "\"Seq\":1e400" }, { "\"Seq\":4", "\"Seq\":-1" }, { "1781115975248", "1e18" },
+             { "1781115975248", "9223372036854775807" }, { "1781115975248", "18446744073709551616" },
+             { "\"Slots\":3", "\"Slots\":4294967299" }, { "\"Slots\":3", "\"Slots\":[3]" }, { ":8080", ":65536" },
+             { ":8080", ":0" }, { ":8080", ":-1" }, { ":8080", "" }, { "10.0.0.9", "10.0.0.999" },
+             { "10.0.0.9", "database" }, { "\"s\"", "\"" + std::string(256, 's') + "\"" }, { "\"s\"", "{\"s\":1}" },
+             { "\"Seq\":4", "\"x\":" + nest("[", "]", 100000) },
+             { "\"Seq\":4", "\"x\":" + nest("{\"a\":", "}", 5000) } }) {
+        std::string odd = body;
+        odd.replace(odd.find(from), from.size(), to);
+        CHECK_EQUAL(400, statusOf(post("/-/Instances.Heartbeat/i-7", odd)));
+        CHECK_EQUAL(400, statusOf(post("/-/Instances.Heartbeat/" + std::string(256, 'i'), body)));
+    }
+    CHECK_EQUAL(0, statusOf(post("/-/Instances.Leave/i-7", "")));
+    for (const std::string &odd : { std::string("{"), std::string("[]"), std::string("{\"born\":\"1\"}"),
+             std::string("{\"born\":1e400}"), nest("[", "]", 100000) }) {
+        CHECK_EQUAL(400, statusOf(post("/-/Instances.Leave/i-7", odd)));
+    }
+}
+
+// A duration near the largest number overflows when it is added to a point in time.
+TEST(ControlApi, LimitsLongDurationsAndLargeCounts)
+{
+    std::string text = ValidText;
+    text.replace(text.find("800"), 3, "9223372036854775807");
+    text.replace(text.find("2500"), 4, "9e18");
+    text.replace(text.find("41"), 2, "4294967297");
+    const Expected<RouteConfiguration> configuration = parseRouteConfiguration(text);
+    CHECK(configuration.has_value());
+    CHECK(configuration->routes.at(0).timeout <= std::chrono::hours(24 * 7));
+    CHECK(configuration->routes.at(0).maxStaleness <= std::chrono::hours(24 * 7));
+    CHECK(configuration->services.at(0).maxConnections > 41);
+    for (const std::string &odd : { std::string("1e400"), nest("[", "]", 100000), nest("{\"a\":", "}", 5000) }) {
+        text = ValidText;
+        text.replace(text.find("41"), 2, odd);
+        CHECK(!parseRouteConfiguration(text).has_value());
+    }
+}
+
 TEST(ControlApi, ParsesOrRejectsArbitraryBytes)
 {
     CHECK(rc::check([]() {
