Wait before a read is sent again to a former primary

A read without a known position was sent again to a server that had lost the primary role as soon as each rejection arrived, until its time was over: one BEGIN for each round trip, while the service had no primary.

Cause: retryStatement waits only for statements that need the primary. A bounded read without a minimum position is placed at the primary, too, but does not count as one of them. It now waits after NotPrimary as the others.

--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -279,7 +279,8 @@
     if (code == ResponseCode::Lagging || code == ResponseCode::Busy || code == ResponseCode::Aborted) {
         pending.triedBackends.insert(pool.record().id);
     }
-    if (pending.needsPrimary) {
+    // A read without a known position is sent to the primary, too.
+    if (pending.needsPrimary || code == ResponseCode::NotPrimary) {
         pending.triedBackends.clear();
         pending.retryAt = now + timing_.busyBackoff * (1U << std::min(pending.rejections, 2U));
     }
--- a/unittests/proxy/topologytest.cpp
+++ b/unittests/proxy/topologytest.cpp
@@ -52,3 +52,15 @@
         CHECK(entry.response && entry.response->code == ResponseCode::Ok);
     }
 }
+
+// A read without a known position, which only a server that confirms the role may run, was sent to a former primary
+// again with each of its rejections.
+TEST(TopologyUpdates, ReadRejectedByAFormerPrimaryIsNotSentAgainAtOnce)
+{
+    entry.run(std::chrono::seconds(8)); // Positions expire.
+    entry.formerPrimary = "l0";
+    entry.beginCount = 0;
+    entry.execute(StatementType::Read);
+    CHECK(entry.beginCount > 0);
+    CHECK(entry.beginCount < 60);
+}
--- a/unittests/proxy/twoserviceentry.h
+++ b/unittests/proxy/twoserviceentry.h
@@ -19,6 +19,8 @@
     std::deque<std::pair<std::string, Statement>> sent; ///< Statements of callers and the servers that got them.
     std::optional<CallerResponse> response; ///< The last response to a caller.
     std::optional<ForwardedStatement> forwarded; ///< The last statement that was sent to another entry.
+    std::string formerPrimary; ///< A server that has lost the role without the entry's knowledge.
+    std::size_t beginCount = 0;
     std::uint64_t version = 0;
     std::uint64_t topologyIndex = 1; ///< Of the last topology that the entry got.
     std::uint64_t nextStatement = 1;
@@ -115,8 +117,11 @@
             result.signature = server;
             applied[server].position += statement.type == StatementType::Write ? 1 : 0;
         } else if (statement.type == StatementType::Begin) {
-            result.code = server == "l1" ? ResponseCode::NotPrimary : ResponseCode::Ok;
-            result.state = server == "l1" ? TransactionState::Idle : TransactionState::Open;
+            ++beginCount;
+            constexpr std::size_t MaxRejections = 1000; // A statement that is sent again at once would never end.
+            const bool leads = server != "l1" && (server != formerPrimary || beginCount > MaxRejections);
+            result.code = leads ? ResponseCode::Ok : ResponseCode::NotPrimary;
+            result.state = leads ? TransactionState::Open : TransactionState::Idle;
         }
         result.position = applied.at(server);
         return result;
