Restore servers beside a stream of odd entries

A server whose place another writer had taken while it was out of the list was ignored for good in two more cases: if an odd entry with its own start time and a high sequence number arrived among its heartbeats, and if one with its own start time was recorded at another address.

A run of heartbeats now begins anew with each lower number, and a server that proves that it runs gets a later start than the record with its own.

--- a/include/daisyrelay/supervision/supervisionstate.h
+++ b/include/daisyrelay/supervision/supervisionstate.h
@@ -58,7 +58,8 @@
     /// Tells whether \p record belongs to an incarnation that has ended or been superseded.
     [[nodiscard]] bool isOutdated(const BackendRecord &record) const;
 
-    /// Returns the lowest start time, not below that of \p record, with which it is not outdated.
+    /// Returns the lowest start time, not below that of \p record, that makes it a later incarnation than every other
+    /// one under its id.
     [[nodiscard]] std::int64_t nextStartOf(const BackendRecord &record) const;
 
     /// Returns the server that is recorded at an address, or null.
--- a/lib/supervision/heartbeatadmission.cpp
+++ b/lib/supervision/heartbeatadmission.cpp
@@ -23,13 +23,15 @@
     return now - (last == lastHeartbeatAt_.end() ? startedAt_ : last->second) < timing_.displacementDelay;
 }
 
-bool HeartbeatAdmission::isConflicting(Instant now, const BackendRecord &record, const SupervisionState &state) const
+static bool hasMoved(const BackendRecord *known, const BackendRecord &record)
 {
-    const BackendRecord *known = state.find(record.id);
-    const bool hasMoved = known != nullptr
+    return known != nullptr
         && (known->service != record.service || known->host != record.host || known->port != record.port);
-    const bool isSameStart = record.startedAtMs != 0 && hasMoved && known->startedAtMs == record.startedAtMs;
-    if (isSameStart || (hasMoved && isAlive(now, record.id))) {
+}
+
+bool HeartbeatAdmission::isConflicting(Instant now, const BackendRecord &record, const SupervisionState &state) const
+{
+    if (hasMoved(state.find(record.id), record) && isAlive(now, record.id)) {
         return true;
     }
     const BackendRecord *atAddress = state.findAt(record.host, record.port);
@@ -41,12 +43,12 @@
 bool HeartbeatAdmission::recordRejected(Instant now, const BackendHeartbeat &heartbeat)
 {
     RejectedRun &run = rejected_[heartbeat.record.id];
-    if (run.count == 0 || run.startedAtMs != heartbeat.record.startedAtMs) {
+    if (run.count == 0 || run.startedAtMs != heartbeat.record.startedAtMs || heartbeat.sequence < run.sequence) {
         run = { heartbeat.record.startedAtMs, heartbeat.sequence, 1, now };
         return false;
     }
-    if (heartbeat.sequence <= run.sequence) {
-        return false; // Sent again, or overtaken.
+    if (heartbeat.sequence == run.sequence) {
+        return false; // Sent again.
     }
     run.sequence = heartbeat.sequence;
     ++run.count;
@@ -74,14 +76,19 @@
     }
     const auto order = lastOrder_.find(record.id);
     const std::pair newOrder(record.startedAtMs, heartbeat.sequence);
+    // A server keeps its service and address until it restarts, so that one of two records with the same start is
+    // wrong.
+    const bool isSecondOfStart
+        = hasMoved(known, record) && record.startedAtMs != 0 && known->startedAtMs == record.startedAtMs;
     const bool isOutdated = state.isOutdated(record) || (order != lastOrder_.end() && newOrder < order->second);
-    if (isOutdated && (!recordRejected(now, heartbeat) || isAlive(now, record.id))) {
-        return { Verdict::Outdated, record.startedAtMs };
+    const bool needsProof = isOutdated || isSecondOfStart;
+    if (needsProof && (!recordRejected(now, heartbeat) || isAlive(now, record.id))) {
+        return { isOutdated ? Verdict::Outdated : Verdict::Conflicting, record.startedAtMs };
     }
     if (isConflicting(now, record, state)) {
         return { Verdict::Conflicting, record.startedAtMs };
     }
-    if (isOutdated) {
+    if (needsProof) {
         record.startedAtMs = state.nextStartOf(record);
         raisedStarts_[record.id] = { heartbeat.record.startedAtMs, record.startedAtMs };
     }
--- a/lib/supervision/supervisionstate.cpp
+++ b/lib/supervision/supervisionstate.cpp
@@ -165,7 +165,7 @@
     for (const BackendRecord &removed : removed_) {
         start = removed.id == record.id ? std::max(start, after(removed.startedAtMs)) : start;
     }
-    if (const BackendRecord *known = find(record.id); known != nullptr && known->startedAtMs > record.startedAtMs) {
+    if (const BackendRecord *known = find(record.id); known != nullptr && known->startedAtMs >= record.startedAtMs) {
         start = std::max(start, after(known->startedAtMs));
     }
     const BackendRecord *atAddress = findAt(record.host, record.port);
