Play full disks one after another

An operator reports changes that were refused or stayed unanswered long after the last of several full disks had room again.

The fake disk can now take some bytes before it is full, so that a write is torn.

--- a/unittests/storage/fakedisk.h
+++ b/unittests/storage/fakedisk.h
@@ -30,6 +30,8 @@
     /// step. At zero, every operation fails until crash() is called.
     std::optional<std::size_t> stepsUntilFailure;
     bool isFull = false; ///< Whether appending fails.
+    /// Bytes that can still be appended before the disk is full; no value if there is room.
+    std::optional<std::size_t> bytesUntilFull;
 
     /// Discards unsynced data, except for the first \p keptUnsyncedBytes bytes of the unsynced tail of each file.
     void crash(std::size_t keptUnsyncedBytes)
@@ -173,9 +175,12 @@
         {
             content_->unsyncedWrites.push_back({ content_->bytes.size(), {} });
             for (const char byte : bytes) {
-                if (disk_.isFull || !disk_.consumeStep()) {
+                if (disk_.isFull || disk_.bytesUntilFull == 0 || !disk_.consumeStep()) {
                     return failure();
                 }
+                if (disk_.bytesUntilFull) {
+                    --*disk_.bytesUntilFull;
+                }
                 content_->bytes.push_back(byte);
                 content_->unsyncedWrites.back().bytes.push_back(byte);
             }
