Do not take the COMMIT of an empty transaction for a proof of the role

Cause: sendStatement marks each statement of a plain transaction as one that confirms the primary.

Evidence: ProxyCore.CommitWithoutWritesDoesNotConfirmThePrimary fails without the change: a replica runs the read.

--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -89,7 +89,11 @@
         Statement payload = makePayload(session);
         payload.minPoint = minPoint;
         exchange.statements.push_back(std::move(payload));
-        connection.confirmsPrimary = pending.isWrite || (session.transaction && !session.transaction->isReadOnly);
+        // A former primary also accepts the COMMIT of a transaction that wrote nothing.
+        const bool isEmptyCommit = pending.statement.type == StatementType::Commit && session.transaction
+            && !session.transaction->hasWritten;
+        connection.confirmsPrimary
+            = pending.isWrite || (session.transaction && !session.transaction->isReadOnly && !isEmptyCommit);
     }
     if (pending.role != PendingStatement::Role::Next) {
         connection.needsLease = !minPoint;
--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -245,3 +245,22 @@
     }
     CHECK(!isReportedAsConfirmed());
 }
+
+// A former primary accepts the COMMIT of a transaction that wrote nothing. Taken for a proof of the role, its position
+// let bounded reads run on logs that lacked older commits of the new primary.
+TEST(ProxyCore, CommitWithoutWritesDoesNotConfirmThePrimary)
+{
+    start(ReadGuarantee::BoundedStaleness);
+    const SessionId idle = service.open("a");
+    CHECK(execute(idle, StatementType::Begin).code == ResponseCode::Ok);
+    CHECK(execute(idle, StatementType::Read, "x").code == ResponseCode::Ok);
+    service.promote("b1"); // The core is not notified.
+    service.replicationLag = 10s;
+    service.run(2s);
+    CHECK(execute(idle, StatementType::Commit).code == ResponseCode::Ok);
+    const std::uint64_t runsBefore = service.servers["b0"].statementsRun + service.servers["b2"].statementsRun;
+    const SessionId reader = service.open("r");
+    service.send(reader, StatementType::Read, "x");
+    service.run(300ms);
+    CHECK_EQUAL(runsBefore, service.servers["b0"].statementsRun + service.servers["b2"].statementsRun);
+}
