Send a position with the generation of the primary that was asked

A position of a former primary could reach another entry under the generation of its successor, if the entry that asked learned of the promotion before the response arrived.

respondToPositionRequests now gets the generation that recordPosition uses.

Evidence: ProxyCore.PositionIsSentWithTheGenerationOfThePrimaryThatWasAsked fails with the generation of the moment of the response (2 instead of 1).

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -264,7 +264,8 @@
     void respondToEntry(Instant now, Session &session, const PendingStatement *pending, CallerResponse response);
     void checkForwarded(Instant now, Session &session);
     void requestPosition(Instant now, const ServiceId &id, Service &service);
-    void respondToPositionRequests(const ServiceId &id, Service &service, Instant sentAt, const LogPoint &point);
+    void respondToPositionRequests(
+        const ServiceId &id, Service &service, Instant sentAt, std::uint64_t generation, const LogPoint &point);
     /// Returns whether the primary can be reached only through other entries.
     [[nodiscard]] bool mustForwardToPrimary(Instant now, const Service &service) const;
     [[nodiscard]] bool hasLocalServer(const ServiceId &service) const;
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -112,7 +112,8 @@
     if (response.position && connection.generation != 0) {
         Service &service = serviceOf(pool.record().service);
         service.freshness.record(connection.stateSince, connection.generation, *response.position);
-        respondToPositionRequests(pool.record().service, service, connection.stateSince, *response.position);
+        respondToPositionRequests(
+            pool.record().service, service, connection.stateSince, connection.generation, *response.position);
     }
 }
 
--- a/lib/proxy/positions.cpp
+++ b/lib/proxy/positions.cpp
@@ -36,14 +36,16 @@
     }
 }
 
-void ProxyCore::respondToPositionRequests(const ServiceId &id, Service &service, Instant sentAt, const LogPoint &point)
+// The primary may have been replaced since it was asked, so the caller passes its generation.
+void ProxyCore::respondToPositionRequests(
+    const ServiceId &id, Service &service, Instant sentAt, std::uint64_t generation, const LogPoint &point)
 {
     std::erase_if(service.positionRequesters, [&](const Service::PositionRequester &requester) {
         if (requester.receivedAt > sentAt) {
             return false;
         }
-        actions_.emplace_back(SendToEntry {
-            requester.entry, PositionResponse { id, requester.sequence, service.primary.generation, point } });
+        actions_.emplace_back(
+            SendToEntry { requester.entry, PositionResponse { id, requester.sequence, generation, point } });
         return true;
     });
 }
--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -264,3 +264,27 @@
     service.run(300ms);
     CHECK_EQUAL(runsBefore, service.servers["b0"].statementsRun + service.servers["b2"].statementsRun);
 }
+
+// The position of a former primary, sent to another entry as that of its successor, let reads of that entry miss the
+// session's own writes.
+TEST(ProxyCore, PositionIsSentWithTheGenerationOfThePrimaryThatWasAsked)
+{
+    start(ReadGuarantee::ReadYourWrites);
+    std::optional<PositionResponse> sent;
+    service.onMessage = [&sent](const SendToEntry &message) {
+        if (const auto *response = std::get_if<PositionResponse>(&message.message); response != nullptr) {
+            sent = *response;
+        }
+    };
+    service.core.onPositionRequest(service.now, VmId { "e" }, { ServiceId { "s" }, 1 });
+    const Term former = service.term;
+    EntryUpdate update; // The sample is in flight while the entry learns of the promotion.
+    update.topology.emplace();
+    update.topology->baseIndex = 2;
+    update.topology->index = 3;
+    update.topology->primaries.push_back({ ServiceId { "s" }, BackendId { "b1" }, former + 1 });
+    service.core.onControlUpdate(service.now, update);
+    service.run(50ms);
+    CHECK(sent.has_value());
+    CHECK_EQUAL(former, sent->generation);
+}
