--- a/lib/supervision/supervisor.cpp
+++ b/lib/supervision/supervisor.cpp
@@ -64,7 +64,8 @@
 
 MonitorContext Supervisor::context()
 {
-    return { state_, entries_, leases_, heartbeats_.lastHeartbeatAt(), log_, metrics_, term_, [this]() { return nextId_++; },
+    return { state_, entries_, leases_, heartbeats_.lastHeartbeatAt(), log_, metrics_, term_,
+        [this]() { return nextId_++; },
         [this](SupervisionAction action) {
             if (const auto *probe = std::get_if<ProbeBackend>(&action); probe != nullptr) {
                 serviceByProbe_[probe->probeId] = probe->backend.service;
@@ -218,8 +219,8 @@
     silentBackendsCheckedAt_ = now;
     for (const auto &[id, backend] : state_.backends()) {
         const auto lastHeartbeat = heartbeats_.lastHeartbeatAt().find(id);
-        const bool isSilent
-            = lastHeartbeat == heartbeats_.lastHeartbeatAt().end() || now - lastHeartbeat->second > timing_.backendExpiry;
+        const bool isSilent = lastHeartbeat == heartbeats_.lastHeartbeatAt().end()
+            || now - lastHeartbeat->second > timing_.backendExpiry;
         if (isSilent && now - removalProposedAt_[id] > timing_.commitTimeout) {
             removalProposedAt_[id] = now;
             propose(RemoveBackend { id, backend.startedAtMs });
