--- a/unittests/proxy/sessionpositionstest.cpp
+++ b/unittests/proxy/sessionpositionstest.cpp
@@ -32,7 +32,7 @@
     entry.moveRoute("short");
     checkWrite();
     entry.moveRoute("long");
-    CHECK(LogPoint(1, 101) <= readMinPoint());
+    CHECK((LogPoint { 1, 101 } <= readMinPoint()));
 }
 
 // A read that every server refuses, because the position of the session's last write belongs to the longer log of
@@ -44,7 +44,7 @@
     entry.moveRoute("long");
     checkWrite();
     entry.moveRoute("short");
-    CHECK(LogPoint(1, 2) <= readMinPoint());
+    CHECK((LogPoint { 1, 2 } <= readMinPoint()));
 }
 
 // A statement that runs at another entry with the position of another service.
@@ -56,7 +56,7 @@
     entry.loseQuotas();
     entry.moveRoute("long");
     entry.execute(StatementType::Read);
-    CHECK(entry.forwarded && entry.forwarded->lastWrite == LogPoint(1, 101));
+    CHECK((entry.forwarded && entry.forwarded->lastWrite == LogPoint { 1, 101 }));
     CHECK_EQUAL(7U, entry.forwarded->lastWriteGeneration);
 }
 
@@ -67,5 +67,5 @@
     entry.moveRoute("short");
     entry.execute(StatementType::Read);
     entry.moveRoute("long");
-    CHECK(LogPoint(1, 101) <= readMinPoint());
+    CHECK((LogPoint { 1, 101 } <= readMinPoint()));
 }
