Log what a read relies on: each position of a primary and its source

A sample now carries its source (own sample, BEGIN, statement, another entry) and the server that reported it. Logged always: the first position of each generation, and a position below the one before in the same generation. Counted: positions by source and outcome.

No behaviour changes: test_proxy passes.

--- a/include/daisyrelay/config/nodesettings.h
+++ b/include/daisyrelay/config/nodesettings.h
@@ -43,6 +43,7 @@
     std::chrono::milliseconds shutdownGrace { 6000 };
     std::uint16_t metricsPort = 0; ///< Zero disables metrics.
     std::uint32_t maxLogLinesPerSecond = 20; ///< Limit for each event.
+    bool tracesReads = false; ///< Whether an entry logs each position of a primary and each read that relies on one.
 };
 
 /// Reads and validates the settings in \p fileName. \returns an error with the detail "file:line: key: message".
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -1,16 +1,15 @@
 // Sessions of callers: runs their statements on backend servers, directly or through other entries.
 #pragma once
 
-#include "daisyrelay/admission.h"
 #include "daisyrelay/proxy/backendpool.h"
 #include "daisyrelay/proxy/configurationlease.h"
 #include "daisyrelay/proxy/drainbacklog.h"
 #include "daisyrelay/proxy/drainschedule.h"
-#include "daisyrelay/proxy/freshnesshistory.h"
 #include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
 #include "daisyrelay/proxy/proxytiming.h"
 #include "daisyrelay/proxy/sentreports.h"
+#include "daisyrelay/proxy/servicestate.h"
 #include "daisyrelay/proxy/session.h"
 #include "daisyrelay/proxy/workspacedirectory.h"
 #include "daisyrelay/ratelimits.h"
@@ -105,6 +104,9 @@
     /// Records that a report is about to be sent to control.
     void recordReport(Instant now, std::uint64_t sequence);
 
+    /// Enables a log line for each reported position and for each read that relies on one.
+    void setReadTrace(bool isEnabled);
+
     /// Returns whether timers are pending, so that tick() must be called at short intervals.
     [[nodiscard]] bool isBusy() const;
 
@@ -115,24 +117,7 @@
     /// Identifiers of forwarded sessions start here; those of callers are lower.
     static constexpr SessionId FirstForwardedSession = SessionId { 1 } << 62U;
 
-    struct Service {
-        PrimaryRecord primary;
-        std::set<BackendId> backends; ///< All backend servers of the service.
-        bool isFailingOver = false;
-        Instant failoverEndsAt {}; ///< Expected by control; valid while isFailingOver.
-        FreshnessHistory freshness;
-        AdmissionQueue queue;
-        ClassAdmission admission;
-        Instant lastUsedAt {}; ///< When a statement was last submitted.
-        Instant lastSampledAt {}; ///< When a position was last requested.
-        std::map<std::uint64_t, Instant> positionRequests; ///< When each request to a home was sent, by sequence.
-        struct PositionRequester {
-            VmId entry;
-            std::uint64_t sequence = 0;
-            Instant receivedAt {};
-        };
-        std::vector<PositionRequester> positionRequesters; ///< Entries that wait for a position of the primary.
-    };
+    using Service = ServiceState;
 
     /// A forwarded session that its entry has ended.
     struct EndedSession {
@@ -264,6 +249,8 @@
     void respondToEntry(Instant now, Session &session, const PendingStatement *pending, CallerResponse response);
     void checkForwarded(Instant now, Session &session);
     void requestPosition(Instant now, const ServiceId &id, Service &service);
+    void recordSample(Instant now, const ServiceId &id, const PositionSample &sample);
+    void traceRead(Instant now, const Session &session, const Service &service, const LogPoint &minPoint);
     void respondToPositionRequests(
         const ServiceId &id, Service &service, Instant sentAt, std::uint64_t generation, const LogPoint &point);
     /// Returns whether the primary can be reached only through other entries.
@@ -319,7 +306,8 @@
     void failStatement(Instant now, Session &session, BackendResponse &response);
     void handleLostResponse(Instant now, Session &session, std::string_view reason);
     void finishStatement(Instant now, Session &session, CallerResponse response);
-    void recordPosition(const BackendPool &pool, const BackendConnection &connection, const BackendResponse &response);
+    void recordPosition(Instant now, const BackendPool &pool, const BackendConnection &connection,
+        const BackendResponse &response, PositionSource source);
     void logOutcome(
         Instant now, const Session &session, const PendingStatement &pending, const CallerResponse &response);
 
@@ -397,6 +385,7 @@
     Instant lastDemandReportAt_ {};
     PrimaryLease lease_;
     ReturnSchedule returns_;
+    bool tracesReads_ = false;
     bool wasLeaseAlive_ = false; ///< Whether the lease was alive at the last tick.
     std::map<ServiceId, Instant> withdrawnAt_; ///< When the withdrawal of a service that is not released arrived.
     Term updateTerm_ = 0; ///< Leader term and number of the last applied update.
--- a/lib/config/nodesettings.cpp
+++ b/lib/config/nodesettings.cpp
@@ -67,7 +67,7 @@
     if (!reader.checkMap(root, "",
             { "address", "name", "zone", "listen", "peer_port", "seeds", "founding", "data_folder", "tolerated",
                 "grace", "platform", "platform_fences", "metrics_port", "log_budget", "reached_at", "fail_closed",
-                "revoked_within", "limit_window", "limit_excess", "limit_slack" })) {
+                "revoked_within", "limit_window", "limit_excess", "limit_slack", "trace_reads" })) {
         return settings;
     }
     settings.id = VmId { reader.requireString(root, "address") };
@@ -96,6 +96,7 @@
     settings.toleratedFailures = reader.readNumber(root, "tolerated", settings.toleratedFailures);
     settings.shutdownGrace = reader.readDuration(root, "grace", settings.shutdownGrace);
     settings.metricsPort = reader.readPort(root, "metrics_port", 0);
+    settings.tracesReads = reader.readBool(root, "trace_reads", false);
     settings.maxLogLinesPerSecond = reader.readNumber(root, "log_budget", settings.maxLogLinesPerSecond);
     return settings;
 }
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -104,8 +104,9 @@
 std::optional<LogPoint> ProxyCore::minPointFor(
     const Session &session, const PendingStatement &pending, const Service &service) const
 {
-    std::optional<LogPoint> point
-        = service.freshness.pointCovering(pending.freshnessReference - pending.route->maxStaleness);
+    const PositionSample *sample
+        = service.freshness.sampleCovering(pending.freshnessReference - pending.route->maxStaleness);
+    const std::optional<LogPoint> point = sample == nullptr ? std::nullopt : std::optional(sample->point);
     const auto lastWrite = session.lastWrites.find(pending.route->service);
     if (!point || pending.route->guarantee != ReadGuarantee::ReadYourWrites || lastWrite == session.lastWrites.end()) {
         return point;
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -107,6 +107,9 @@
     pending.sentAt = now;
     pending.wasSent = true;
     ++pending.attempts;
+    if (minPoint) {
+        traceRead(now, session, service, *minPoint);
+    }
     if (pending.role != PendingStatement::Role::Next) {
         pool.recordStart(now);
     }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -97,7 +97,7 @@
     }
     if (connection.purpose == BackendConnection::Purpose::Sample && responses.front().code == ResponseCode::Ok
         && isLeaseValid(now, pool, connection)) {
-        recordPosition(pool, connection, responses.front());
+        recordPosition(now, pool, connection, responses.front(), PositionSource::Sample);
     }
     if (state != TransactionState::Idle) {
         closeConnection(now, pool, id, ConnectionLoss::Broken);
@@ -106,24 +106,13 @@
     releaseConnection(now, pool, connection);
 }
 
-void ProxyCore::recordPosition(
-    const BackendPool &pool, const BackendConnection &connection, const BackendResponse &response)
-{
-    if (response.position && connection.generation != 0) {
-        Service &service = serviceOf(pool.record().service);
-        service.freshness.record(connection.stateSince, connection.generation, *response.position);
-        respondToPositionRequests(
-            pool.record().service, service, connection.stateSince, connection.generation, *response.position);
-    }
-}
-
 // Handles the response to a successful BEGIN. \p session is null if nothing waits for it any more.
 void ProxyCore::onBeginResponse(
     Instant now, BackendPool &pool, BackendConnection &connection, const BackendResponse &response, Session *session)
 {
     const bool isValid = isLeaseValid(now, pool, connection) && canUsePrimary(now, pool.record().service);
     if (connection.confirmsPrimary && isValid) {
-        recordPosition(pool, connection, response);
+        recordPosition(now, pool, connection, response, PositionSource::Begin);
     }
     if (session != nullptr && connection.needsLease && !isValid) {
         connection.session = 0;
@@ -165,7 +154,7 @@
         return;
     }
     if (response.code == ResponseCode::Ok && connection.confirmsPrimary) {
-        recordPosition(pool, connection, response);
+        recordPosition(now, pool, connection, response, PositionSource::Statement);
     }
     if (!isAwaited) {
         if (state == TransactionState::Idle) {
--- a/lib/runtime/entrynode.cpp
+++ b/lib/runtime/entrynode.cpp
@@ -33,6 +33,7 @@
     , controlVms_(context.settings.seeds)
     , reportInterval_(InitialReportInterval)
 {
+    core_.setReadTrace(context.settings.tracesReads);
 }
 
 PeerTransport::Hooks EntryNode::peerHooks()
