Do not take the COMMIT of an empty transaction for a proof as its first statement

Bounded reads on an entry could run on logs that lacked commits acknowledged seconds before, after a caller had sent BEGIN and COMMIT alone.

Cause: the BEGIN goes to the server first, and the response to the COMMIT that follows kept the BEGIN's property of confirming the primary. A former primary answers that COMMIT, and its position was recorded with the time at which the COMMIT was sent.

Evidence: ProxyCore.CommitAsFirstStatementDoesNotConfirmThePrimary fails on the parent (a replica runs the read) and passes here.

--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -62,6 +62,13 @@
     }
 }
 
+// A former primary also accepts the COMMIT of a transaction that wrote nothing.
+static bool isEmptyCommit(const Session &session)
+{
+    return session.pending->statement.type == StatementType::Commit && session.transaction
+        && !session.transaction->hasWritten;
+}
+
 // A rejected BEGIN leaves the connection outside a transaction, where a statement sent along with the BEGIN would still
 // run. The statement is therefore sent only after the BEGIN has succeeded.
 void ProxyCore::sendStatement(
@@ -89,11 +96,8 @@
         Statement payload = makePayload(session);
         payload.minPoint = minPoint;
         exchange.statements.push_back(std::move(payload));
-        // A former primary also accepts the COMMIT of a transaction that wrote nothing.
-        const bool isEmptyCommit = pending.statement.type == StatementType::Commit && session.transaction
-            && !session.transaction->hasWritten;
-        connection.confirmsPrimary
-            = pending.isWrite || (session.transaction && !session.transaction->isReadOnly && !isEmptyCommit);
+        const bool isInPlainTransaction = session.transaction && !session.transaction->isReadOnly;
+        connection.confirmsPrimary = pending.isWrite || (isInPlainTransaction && !isEmptyCommit(session));
     }
     if (pending.role != PendingStatement::Role::Next) {
         connection.needsLease = !minPoint;
@@ -125,6 +129,7 @@
     }
     connection.awaitsBegin = false;
     connection.payloadIndex = 0;
+    connection.confirmsPrimary = connection.confirmsPrimary && !isEmptyCommit(session);
     startExchange(now, connection, std::move(exchange));
 }
 
--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -265,6 +265,25 @@
     CHECK_EQUAL(runsBefore, service.servers["b0"].statementsRun + service.servers["b2"].statementsRun);
 }
 
+// Reads older than their route allows, after an entry stood still between the BEGIN and the COMMIT of an empty
+// transaction: the primary was replaced meanwhile, and a former primary answers that COMMIT.
+TEST(ProxyCore, CommitAsFirstStatementDoesNotConfirmThePrimary)
+{
+    start(ReadGuarantee::BoundedStaleness);
+    const SessionId idle = service.open("a");
+    CHECK(execute(idle, StatementType::Begin).code == ResponseCode::Ok);
+    service.send(idle, StatementType::Commit, "COMMIT");
+    service.run(2ms); // The primary has run the BEGIN.
+    service.promote("b1"); // The core is not notified.
+    service.replicationLag = 10s;
+    service.now += 3s;
+    CHECK(service.awaitResponse(idle).code == ResponseCode::Ok);
+    const std::uint64_t runsBefore = service.servers["b0"].statementsRun + service.servers["b2"].statementsRun;
+    service.send(service.open("r"), StatementType::Read, "x");
+    service.run(300ms);
+    CHECK_EQUAL(runsBefore, service.servers["b0"].statementsRun + service.servers["b2"].statementsRun);
+}
+
 // The position of a former primary, sent to another entry as that of its successor, let reads of that entry miss the
 // session's own writes.
 TEST(ProxyCore, PositionIsSentWithTheGenerationOfThePrimaryThatWasAsked)
