Let the numbers of requests to other entries differ between runs

An entry that had restarted could take the late response to a request of its former run for the response to its own: a position was then recorded with the time of the later request, and bounded reads could miss commits.

Cause: requests for positions are matched by a number that began at 1 in each run, and a home keeps a requester for as long as it cannot ask the primary. Forwarded statements carry a session that differs between runs; positions carry none. The number now starts at a value derived from the run, as the session does. No encoded type changes.

Evidence: PositionRequests.ResponseToAFormerRunIsNoPositionOfThisRun fails on the parent (a read runs at the replica) and passes here; test_proxy passes.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -374,7 +374,7 @@
     SessionId nextForwardedSession_ = FirstForwardedSession;
     std::vector<SessionId> finishedForwardedSessions_;
     std::uint64_t sessionIdBase_;
-    std::uint64_t nextSequence_ = 1;
+    std::uint64_t nextSequence_; ///< Differs between runs, so that a late response to another run matches no request.
     std::set<SessionId> activeSessions_; ///< Sessions with a pending statement.
     std::unordered_map<ConnectionId, BackendId> connections_;
     std::map<PreparedStatement, std::string> preparedNames_;
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -24,6 +24,7 @@
     , rateLimits_(sessionIdBase, rateLimits)
     , coordinator_(rateLimits)
     , sessionIdBase_(sessionIdBase)
+    , nextSequence_(sessionIdBase / 2 + 1) // Leaves room to count up from any base.
     , lease_(fencing)
 {
 }
--- /dev/null
+++ b/unittests/proxy/positionrequesttest.cpp
@@ -0,0 +1,121 @@
+// Positions of a primary that an entry requests from another entry.
+#include "daisyrelay/proxy.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisyrelay;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An entry that reaches a replica directly and the primary only through the entry "home".
+struct RemoteEntry {
+    Instant now { std::chrono::hours(1) };
+    EventLog log { [](std::string_view) {} };
+    Metrics metrics;
+    ProxyCore core;
+    std::optional<std::uint64_t> requested; ///< Sequence of the last position request.
+    std::size_t localReads = 0; ///< Reads sent to the replica.
+
+    explicit RemoteEntry(std::uint64_t runId) : core(ZoneId { "z0" }, log, metrics, runId)
+    {
+        EntryUpdate update;
+        RouteConfiguration configuration;
+        configuration.version = 1;
+        DatabaseRoute route;
+        route.database = "db";
+        route.service = ServiceId { "s" };
+        route.guarantee = ReadGuarantee::BoundedStaleness;
+        route.maxStaleness = 1500ms;
+        route.timeout = 800ms;
+        route.latencyTarget = 200ms;
+        configuration.routes.push_back(route);
+        configuration.services.push_back({ ServiceId { "s" }, 16, 0 });
+        update.configuration = encodeConfigurationUpdate(configuration);
+        update.configVersion = 1;
+        Topology topology;
+        topology.index = 1;
+        for (const std::string name : { "primary", "replica" }) {
+            topology.backends.push_back(
+                { BackendId { name }, 1, ServiceId { "s" }, name, 80, ZoneId { "z0" }, 2, false, name == "primary" });
+        }
+        topology.primaries.push_back({ ServiceId { "s" }, BackendId { "primary" }, 7 });
+        update.topology = topology;
+        update.quotas.push_back({ BackendId { "replica" }, 2 });
+        update.homes.emplace();
+        update.homes->version = 1;
+        update.homes->isLast = true;
+        update.homes->homes.push_back({ BackendId { "primary" }, { VmId { "home" } } });
+        core.onControlUpdate(now, update);
+        core.onSessionOpened(now, 1, "db");
+        run(200ms);
+    }
+
+    void read()
+    {
+        Statement statement;
+        statement.id = "q";
+        statement.type = StatementType::Read;
+        statement.text = "x";
+        core.onStatement(now, 1, statement);
+        performActions();
+    }
+
+    void performActions()
+    {
+        for (std::vector<ProxyAction> actions = core.takeActions(); !actions.empty(); actions = core.takeActions()) {
+            for (const ProxyAction &action : actions) {
+                if (const auto *open = std::get_if<OpenBackendConnection>(&action); open != nullptr) {
+                    core.onConnectionOpened(now, open->connection);
+                } else if (std::holds_alternative<RunExchange>(action)) {
+                    ++localReads;
+                } else if (const auto *message = std::get_if<SendToEntry>(&action); message != nullptr) {
+                    const auto *request = std::get_if<PositionRequest>(&message->message);
+                    requested = request == nullptr ? requested : std::optional(request->sequence);
+                }
+            }
+        }
+    }
+
+    void run(Duration duration)
+    {
+        for (const Instant end = now + duration; now < end; now += 10ms) {
+            core.tick(now);
+            performActions();
+        }
+    }
+};
+
+} // namespace
+
+TEST_GROUP(PositionRequests) { /// Returns the sequence of the first request of a run.
+    static std::uint64_t firstRequestOf(RemoteEntry & entry) { entry.read();
+entry.run(1000ms);
+CHECK(entry.requested.has_value());
+return entry.requested.value_or(0);
+}
+}
+;
+
+TEST(PositionRequests, ResponseToThisRunPermitsLocalReads)
+{
+    RemoteEntry entry(1000);
+    const std::uint64_t sequence = firstRequestOf(entry);
+    entry.core.onPositionResponse(entry.now, VmId { "home" }, { ServiceId { "s" }, sequence, 7, { 1, 5 } });
+    entry.read();
+    CHECK_EQUAL(1U, entry.localReads);
+}
+
+// Reads older than their route allows, after an entry restarted and took the late response to a request of its former
+// run for the response to its own one.
+TEST(PositionRequests, ResponseToAFormerRunIsNoPositionOfThisRun)
+{
+    RemoteEntry former(1000);
+    RemoteEntry restarted(2000);
+    const std::uint64_t formerSequence = firstRequestOf(former);
+    firstRequestOf(restarted);
+    restarted.core.onPositionResponse(
+        restarted.now, VmId { "home" }, { ServiceId { "s" }, formerSequence, 7, { 1, 5 } });
+    restarted.read();
+    CHECK_EQUAL(0U, restarted.localReads);
+}
