Limit what is read from sessions that await a response

Cause: CallerSessions consumes nothing while a response is awaited, and ByteStream went on reading. A session now buffers up to 64 KiB meanwhile, less if many sessions are open; the socket is not read beyond that, so that TCP holds the caller back. Nothing is dropped. Unfinished messages of all sessions share 8 MiB; beyond it, a session with a large one is rejected as busy, which keeps room for small statements.

Evidence: CallerSessions.StatementsSentAheadAreReadUpToALimit and LargeUnfinishedStatementsAreRejectedBeyondALimit fail without the limits (each taken out in turn) and pass here, with all statements run in order.

--- a/lib/runtime/bytestream.cpp
+++ b/lib/runtime/bytestream.cpp
@@ -84,7 +84,7 @@
 
 void ByteStream::waitUntilReadable()
 {
-    if (isWaitingToRead_ || isReadingPaused_ || !isOpen_) {
+    if (isWaitingToRead_ || isReadingPaused_ || !isOpen_ || unconsumed_.size() >= maxUnconsumedBytes_) {
         return;
     }
     isWaitingToRead_ = true;
@@ -101,11 +101,12 @@
 void ByteStream::readBytes()
 {
     static std::array<char, ReadBufferBytes> sharedBuffer;
-    if (isReadingPaused_ || !isOpen_) {
+    if (isReadingPaused_ || !isOpen_ || unconsumed_.size() >= maxUnconsumedBytes_) {
         return;
     }
     ErrorCode error;
-    const std::size_t receivedBytes = socket_.read_some(asio::buffer(sharedBuffer), error);
+    const std::size_t receivedBytes
+        = socket_.read_some(asio::buffer(sharedBuffer, maxUnconsumedBytes_ - unconsumed_.size()), error);
     if (error == asio::error::would_block) {
         waitUntilReadable();
         return;
@@ -138,6 +139,13 @@
     const std::shared_ptr<ByteStream> self = shared_from_this();
     const std::size_t consumedBytes = hooks_.onBytes(unconsumed_);
     unconsumed_.erase(0, consumedBytes);
+    waitUntilReadable();
+}
+
+void ByteStream::setMaxUnconsumedBytes(std::size_t count)
+{
+    maxUnconsumedBytes_ = count;
+    waitUntilReadable();
 }
 
 void ByteStream::setReadingPaused(bool paused)
--- a/lib/runtime/bytestream.h
+++ b/lib/runtime/bytestream.h
@@ -4,6 +4,7 @@
 #include "daisyrelay/config.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -57,6 +58,10 @@
     /// Suspends or resumes reading from the socket.
     void setReadingPaused(bool paused);
 
+    /// Stops reading from the socket while at least \p count bytes are not consumed. Without a limit all bytes are read
+    /// as they arrive.
+    void setMaxUnconsumedBytes(std::size_t count);
+
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] std::size_t unsentBytes() const;
     [[nodiscard]] bool hasUnconsumedBytes() const;
@@ -76,6 +81,7 @@
     Duration userTimeout_;
     Hooks hooks_;
     std::string unconsumed_;
+    std::size_t maxUnconsumedBytes_ = std::numeric_limits<std::size_t>::max();
     std::string unsent_;
     bool isOpen_ = false;
     bool isWaitingToRead_ = false;
--- a/lib/runtime/callersessions.cpp
+++ b/lib/runtime/callersessions.cpp
@@ -1,5 +1,8 @@
 #include "callersessions.h"
 
+#include <algorithm>
+#include <limits>
+
 #include <boost/asio/post.hpp>
 
 namespace daisyrelay {
@@ -12,6 +15,13 @@
 /// exceeds the limit does not read its responses and is disconnected.
 static constexpr std::size_t MaxUnsentBytes = std::size_t { 4 } * 1024 * 1024;
 
+/// Limit on the bytes of all sessions that have arrived and were not decoded. A process has 256 MB at the users'
+/// deployments.
+static constexpr std::size_t MaxBufferedBytes = std::size_t { 8 } * 1024 * 1024;
+/// Limits on the bytes of one session that awaits a response; the first one holds while few sessions are open.
+static constexpr std::size_t MaxSessionBuffer = std::size_t { 64 } * 1024;
+static constexpr std::size_t MinSessionBuffer = std::size_t { 4 } * 1024;
+
 /// A caller that reads slowly may keep its window closed for longer than a VM or a server that is alive.
 static constexpr Duration CallerUserTimeout = std::chrono::seconds(4);
 
@@ -65,14 +75,54 @@
     ByteStream::Hooks hooks;
     hooks.onBytes = [this, id](std::string_view bytes) { return processBytes(id, bytes); };
     hooks.onClosed = [this, id](const ErrorCode &) {
-        sessions_.erase(id);
+        forget(id);
         hooks_.onClosed(id);
     };
     state.stream->setHooks(std::move(hooks));
     state.stream->start();
 }
 
+void CallerSessions::forget(SessionId session)
+{
+    if (const auto found = sessions_.find(session); found != sessions_.end()) {
+        bufferedBytes_ -= found->second.bufferedBytes;
+        sessions_.erase(found);
+    }
+}
+
+std::size_t CallerSessions::bufferShare() const
+{
+    return std::clamp(
+        MaxBufferedBytes / std::max<std::size_t>(sessions_.size(), 1), MinSessionBuffer, MaxSessionBuffer);
+}
+
+void CallerSessions::awaitResponse(SessionState &state)
+{
+    state.isAwaitingResponse = true;
+    state.stream->setMaxUnconsumedBytes(bufferShare());
+}
+
 std::size_t CallerSessions::processBytes(SessionId session, std::string_view bytes)
+{
+    const std::size_t consumedBytes = decodeMessages(session, bytes);
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) {
+        return bytes.size();
+    }
+    SessionState &state = found->second;
+    const std::size_t remainingBytes = bytes.size() - consumedBytes;
+    bufferedBytes_ += remainingBytes - state.bufferedBytes;
+    state.bufferedBytes = remainingBytes;
+    if (!state.isAwaitingResponse && remainingBytes > bufferShare() && bufferedBytes_ > MaxBufferedBytes) {
+        hooks_.onMalformed("no room for a large message");
+        rejectSession(session, ResponseCode::Busy, "no room for a large message");
+        hooks_.onClosed(session);
+        return bytes.size();
+    }
+    return consumedBytes;
+}
+
+std::size_t CallerSessions::decodeMessages(SessionId session, std::string_view bytes)
 {
     std::size_t consumedBytes = 0;
     while (consumedBytes < bytes.size()) {
@@ -90,16 +140,16 @@
         }
         consumedBytes += decoded.consumedBytes;
         if (auto *statement = std::get_if<Statement>(&decoded.message); statement != nullptr && state.isOpened) {
-            state.isAwaitingResponse = true;
+            awaitResponse(state);
             hooks_.onStatement(session, std::move(*statement));
         } else if (const auto *sessionStart = std::get_if<SessionStart>(&decoded.message);
                    sessionStart != nullptr && !state.isOpened) {
-            state.isAwaitingResponse = true;
+            awaitResponse(state);
             state.isOpened = true;
             hooks_.onOpened(session, *sessionStart);
         } else if (std::holds_alternative<SessionEnd>(decoded.message)) {
             const std::shared_ptr<ByteStream> stream = state.stream;
-            sessions_.erase(found);
+            forget(session);
             closeAfterWrites(stream);
             hooks_.onClosed(session);
             return bytes.size();
@@ -122,6 +172,7 @@
         return;
     }
     found->second.isAwaitingResponse = false;
+    found->second.stream->setMaxUnconsumedBytes(std::numeric_limits<std::size_t>::max());
     if (!found->second.stream->hasUnconsumedBytes()) {
         return;
     }
@@ -150,7 +201,7 @@
         return;
     }
     const std::shared_ptr<ByteStream> stream = found->second.stream;
-    sessions_.erase(found);
+    forget(session);
     std::string bytes;
     platform_.encodeRejection(bytes, code, detail);
     stream->write(bytes);
@@ -168,7 +219,7 @@
     const std::shared_ptr<ByteStream> stream = found->second.stream;
     stream->write(bytes);
     if (stream->unsentBytes() > MaxUnsentBytes) {
-        sessions_.erase(session);
+        forget(session);
         stream->close();
         hooks_.onClosed(session);
         return;
@@ -186,7 +237,7 @@
     if (!found->second.isAwaitingResponse && hasUnreadMessage(*stream)) {
         return;
     }
-    sessions_.erase(found);
+    forget(session);
     closeAfterWrites(stream);
     hooks_.onClosed(session);
 }
@@ -222,6 +273,7 @@
 CallerSessions::Backlog CallerSessions::backlog() const
 {
     Backlog backlog;
+    backlog.bufferedBytes = bufferedBytes_;
     const auto add = [&backlog](const ByteStream &stream) {
         if (stream.isOpen()) {
             ++backlog.connections;
--- a/lib/runtime/callersessions.h
+++ b/lib/runtime/callersessions.h
@@ -10,7 +10,9 @@
 
 namespace daisyrelay {
 
-/// Reads the next statement of a session only after the response to the previous one was sent.
+/// Decodes the next statement of a session only after the response to the previous one was sent. Bytes that arrive
+/// meanwhile are buffered up to a limit for each session, beyond which the connection is not read. If the buffers of
+/// all sessions are full, a session with a large unfinished message is rejected.
 class CallerSessions
 {
 public:
@@ -45,6 +47,7 @@
         std::size_t connections = 0; ///< Open connections, including those that close after their writes.
         std::size_t unsentBytes = 0;
         std::size_t unreadBytes = 0; ///< Of messages that may be complete.
+        std::size_t bufferedBytes = 0; ///< Read from open connections and not decoded.
     };
     [[nodiscard]] Backlog backlog() const;
 
@@ -53,12 +56,19 @@
         std::shared_ptr<ByteStream> stream;
         bool isOpened = false;
         bool isAwaitingResponse = false; ///< No further message is read until the response was sent.
+        std::size_t bufferedBytes = 0; ///< Arrived and not decoded.
     };
 
     void accept();
     void addSession(boost::asio::ip::tcp::socket socket);
-    /// \returns the number of bytes consumed.
+    /// Decodes messages and accounts for the bytes that remain. \returns the number of bytes consumed.
     std::size_t processBytes(SessionId session, std::string_view bytes);
+    std::size_t decodeMessages(SessionId session, std::string_view bytes);
+    /// Suspends decoding until the response to the message that was just read is sent.
+    void awaitResponse(SessionState &state);
+    void forget(SessionId session);
+    /// Returns how many bytes a session may buffer while it awaits a response.
+    [[nodiscard]] std::size_t bufferShare() const;
     void resumeReading(SessionId session);
     [[nodiscard]] bool hasUnreadMessage(const ByteStream &stream) const;
     void closeAfterWrites(const std::shared_ptr<ByteStream> &stream);
@@ -68,6 +78,7 @@
     Hooks hooks_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::unordered_map<SessionId, SessionState> sessions_;
+    std::size_t bufferedBytes_ = 0; ///< Of all sessions.
     std::vector<std::weak_ptr<ByteStream>> closingStreams_; ///< Ended sessions whose responses are not all written.
     SessionId nextSessionId_ = 1;
 };
--- a/unittests/draining/callersessionstest.cpp
+++ b/unittests/draining/callersessionstest.cpp
@@ -1,6 +1,9 @@
 // Sessions of callers on real sockets at the end of a drain.
 #include "callersessions.h"
 
+#include <algorithm>
+#include <array>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -192,3 +195,67 @@
     }
     CHECK_EQUAL(0, closed);
 }
+
+// Guards against an entry whose memory grows with what callers send while they await a response.
+TEST(CallerSessions, StatementsSentAheadAreReadUpToALimit)
+{
+    constexpr std::size_t Count = 30'000;
+    std::string text;
+    for (std::size_t at = 0; at < Count; ++at) {
+        text += "statement\n";
+    }
+    std::size_t sent = 0;
+    caller.non_blocking(true);
+    const auto sendMore = [&]() {
+        boost::system::error_code error;
+        sent += sent < text.size() ? caller.write_some(asio::buffer(text.data() + sent, text.size() - sent), error) : 0;
+    };
+    for (int at = 0; at < 200; ++at) {
+        sendMore();
+        io.poll();
+    }
+    constexpr std::size_t MaxBytes = std::size_t { 64 } * 1024;
+    CHECK(sessions->backlog().bufferedBytes <= MaxBytes);
+    CHECK_EQUAL(1, statements.size());
+    while (statements.size() < Count) {
+        const std::size_t before = statements.size();
+        respond("");
+        for (int at = 0; at < 1000 && statements.size() == before; ++at) {
+            sendMore();
+            io.poll();
+        }
+        CHECK_EQUAL(before + 1, statements.size());
+        std::array<char, 4096> response {};
+        boost::system::error_code error;
+        caller.read_some(asio::buffer(response), error);
+    }
+}
+
+// Guards against unfinished large statements that together exceed the memory of the process, and against a limit that
+// turns away the callers of small ones.
+TEST(CallerSessions, LargeUnfinishedStatementsAreRejectedBeyondALimit)
+{
+    constexpr std::size_t Size = 1'000'000;
+    constexpr std::size_t Count = 12;
+    std::vector<tcp::socket> others;
+    for (std::size_t at = 0; at < Count; ++at) {
+        tcp::socket &other = others.emplace_back(io);
+        other.connect({ asio::ip::make_address("127.0.0.1"), Port });
+        other.non_blocking(true);
+        const std::string text = "START\n" + std::string(Size, 'x');
+        std::size_t sent = 0;
+        for (int tries = 0; tries < 10'000 && sent < text.size(); ++tries) {
+            boost::system::error_code error;
+            sent += other.write_some(asio::buffer(text.data() + sent, text.size() - sent), error);
+            io.poll();
+        }
+    }
+    io.run_for(100ms);
+    constexpr std::size_t MaxBytes = std::size_t { 9 } * 1024 * 1024;
+    CHECK(sessions->backlog().bufferedBytes <= MaxBytes);
+    CHECK(closed > 0);
+    CHECK(closed < Count);
+    write("small\n");
+    io.run_for(100ms);
+    CHECK(std::find(statements.begin(), statements.end(), "small") != statements.end());
+}
