Pause before accepting again without a free descriptor

Cause: CallerSessions accepted again at once after each failure; the HTTP server and the connections between VMs already pause for 20 ms.

Evidence: CallerSessions.AcceptingPausesWithoutFreeDescriptors fails on the parent (more than 50 handlers in 200 ms) and passes here.

--- a/lib/runtime/callersessions.cpp
+++ b/lib/runtime/callersessions.cpp
@@ -15,6 +15,9 @@
 /// exceeds the limit does not read its responses and is disconnected.
 static constexpr std::size_t MaxUnsentBytes = std::size_t { 4 } * 1024 * 1024;
 
+/// Without free descriptors, accepting fails again at once for as long as connections wait.
+static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
+
 /// Limit on the bytes of all sessions that have arrived and were not decoded. A process has 256 MB at the users'
 /// deployments.
 static constexpr std::size_t MaxBufferedBytes = std::size_t { 8 } * 1024 * 1024;
@@ -26,7 +29,7 @@
 static constexpr Duration CallerUserTimeout = std::chrono::seconds(4);
 
 CallerSessions::CallerSessions(asio::io_context &context, const PlatformHooks &platform, Hooks hooks)
-    : context_(context), platform_(platform), hooks_(std::move(hooks)), acceptor_(context)
+    : context_(context), platform_(platform), hooks_(std::move(hooks)), acceptor_(context), acceptTimer_(context)
 {
 }
 
@@ -46,9 +49,19 @@
         if (!error) {
             addSession(std::move(socket));
         }
-        if (error != asio::error::operation_aborted && acceptor_.is_open()) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
             accept();
+            return;
         }
+        acceptTimer_.expires_after(AcceptRetryDelay);
+        acceptTimer_.async_wait([this](const ErrorCode &timerError) {
+            if (!timerError && acceptor_.is_open()) {
+                accept();
+            }
+        });
     });
 }
 
--- a/lib/runtime/callersessions.h
+++ b/lib/runtime/callersessions.h
@@ -77,6 +77,7 @@
     const PlatformHooks &platform_;
     Hooks hooks_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer acceptTimer_;
     std::unordered_map<SessionId, SessionState> sessions_;
     std::size_t bufferedBytes_ = 0; ///< Of all sessions.
     std::vector<std::weak_ptr<ByteStream>> closingStreams_; ///< Ended sessions whose responses are not all written.
--- a/unittests/draining/callersessionstest.cpp
+++ b/unittests/draining/callersessionstest.cpp
@@ -9,6 +9,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <sys/resource.h>
+
 using namespace daisyrelay;
 using namespace std::chrono_literals;
 
@@ -259,3 +261,21 @@
     io.run_for(100ms);
     CHECK(std::find(statements.begin(), statements.end(), "small") != statements.end());
 }
+
+// Guards against an entry that uses its processor for nothing while it has no free descriptor for a waiting caller.
+TEST(CallerSessions, AcceptingPausesWithoutFreeDescriptors)
+{
+    tcp::socket waiting(io, tcp::v4());
+    rlimit usual {};
+    CHECK_EQUAL(0, ::getrlimit(RLIMIT_NOFILE, &usual));
+    rlimit exhausted = usual;
+    exhausted.rlim_cur = static_cast<rlim_t>(waiting.native_handle()) + 1;
+    CHECK_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &exhausted));
+    waiting.connect({ asio::ip::make_address("127.0.0.1"), Port });
+    constexpr std::size_t MaxHandlers = 50;
+    CHECK(io.run_for(200ms) < MaxHandlers);
+    CHECK_EQUAL(1, sessions->backlog().connections);
+    CHECK_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &usual));
+    io.run_for(100ms);
+    CHECK_EQUAL(2, sessions->backlog().connections);
+}
