--- a/unittests/platform/controlapitest.cpp
+++ b/unittests/platform/controlapitest.cpp
@@ -44,6 +44,21 @@
     CHECK_EQUAL(3000, configuration->transactionIdleTimeout.count());
 }
 
+// Guards against a workspace without any limit, because its rate of less than one operation a second became zero.
+TEST(ControlApi, RateBelowOneIsALimit)
+{
+    const auto rateOf = [](const std::string &rate) {
+        std::string text = ValidText;
+        text.replace(
+            text.find("\"Limits\""), 0, R"("Tenants":[{"Name":"a","ApiKeys":["k"],"RatePerS":)" + rate + "}],");
+        const Expected<RouteConfiguration> configuration = parseRouteConfiguration(text);
+        return configuration ? std::optional(configuration->workspaces.at(0).operationsPerSecond) : std::nullopt;
+    };
+    CHECK(rateOf("0.4") == 1U);
+    CHECK(rateOf("0") == 0U);
+    CHECK(rateOf("1.9") == 1U);
+}
+
 TEST(ControlApi, ReadsWorkspacesAndRejectsInvalidOnes)
 {
     const auto parseWith = [](const std::string &workspaces) {
