--- a/unittests/proxy/fakeservers.cpp
+++ b/unittests/proxy/fakeservers.cpp
@@ -194,6 +194,16 @@
     connection.pending.clear();
 }
 
+std::uint64_t FakeService::commitElsewhere(const std::string &item)
+{
+    const std::string id = "elsewhere" + std::to_string(nextWriteNumber_);
+    Connection connection;
+    connection.server = primary;
+    connection.pending.push_back({ id, item, id, 0, 0 });
+    commit(connection, id);
+    return committed.back().number;
+}
+
 void FakeService::replicate()
 {
     for (auto &[name, server] : servers) {
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -98,6 +98,9 @@
     /// Makes \p server the primary; commits that it has not applied are lost. Has no effect on the current primary.
     void promote(const std::string &server);
 
+    /// Commits a write that another entry sent to the primary, and returns its number.
+    std::uint64_t commitElsewhere(const std::string &item);
+
     /// Returns the next response to a caller, after running until it has arrived.
     CallerResponse awaitResponse(SessionId session, Duration maxWait = std::chrono::seconds(3));
 
