Report a primary as confirmed only by a position of its own generation

An entry that had just learned of a new primary reported it as confirmed for up to 200 ms, though only its predecessor had confirmed its role. Control then credits the confirmation to a server that may respond to nobody, and may choose the entry to relay statements to a primary that it has never reached.

Cause: fillReport looked at the age of the newest position, not at the generation of the primary that reported it.

Evidence: FormerPrimary.ConfirmationOfTheFormerPrimaryIsNotReportedForItsSuccessor fails without the change and passes with it.

--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -96,11 +96,12 @@
         if (pool == nullptr || pool->quota() == 0) {
             continue;
         }
-        // Only a response that confirms the primary counts; a former primary still responds.
-        const std::optional<Instant> confirmedAt = service.freshness.newestSampleAt();
+        // Only a response that confirms this primary counts; a former primary still responds.
+        const PositionSample *newest = service.freshness.newest();
         constexpr Duration MaxConfirmationAge = std::chrono::milliseconds(200);
-        report.primaries.push_back({ id, service.primary.backend,
-            confirmedAt && now - *confirmedAt < MaxConfirmationAge, pool->isUnreachable(now) });
+        const bool isConfirmed = newest != nullptr && newest->generation == service.primary.generation
+            && now - newest->sentAt < MaxConfirmationAge;
+        report.primaries.push_back({ id, service.primary.backend, isConfirmed, pool->isUnreachable(now) });
     }
 }
 
--- a/unittests/proxy/formerprimarytest.cpp
+++ b/unittests/proxy/formerprimarytest.cpp
@@ -146,3 +146,32 @@
     CHECK_EQUAL(0U, afterUpdate.stale);
     CHECK(afterUpdate.served >= 200);
 }
+
+// A new primary that responds to nobody was not replaced at once, and an entry that cannot reach it could be chosen to
+// relay statements to it, because the last position of its predecessor counted as its confirmation.
+TEST(FormerPrimary, ConfirmationOfTheFormerPrimaryIsNotReportedForItsSuccessor)
+{
+    service.configure(ReadGuarantee::Primary);
+    service.sendTopology();
+    const SessionId session = service.open("a");
+    service.send(session, StatementType::Write, "x");
+    CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
+    const auto observation = [this]() {
+        EntryReport report;
+        service.core.fillReport(service.now, report);
+        CHECK_EQUAL(1U, report.primaries.size());
+        return report.primaries.front();
+    };
+    CHECK(observation().isConfirmed);
+    EntryUpdate update;
+    Topology topology;
+    topology.index = 100; // After those of FakeService.
+    topology.baseIndex = 1;
+    topology.primaries.push_back({ ServiceId { "s" }, BackendId { "b1" }, 2 });
+    update.topology = topology;
+    service.promote("b1");
+    service.servers["b1"].isSilent = true;
+    service.core.onControlUpdate(service.now, update);
+    CHECK_EQUAL(std::string("b1"), observation().backend.value);
+    CHECK(!observation().isConfirmed);
+}
