Ignore late probe outcomes of a former primary

A primary that entries confirmed all the time was replaced (reason "deposed").

Cause: a primary can be recorded while a probe of its predecessor is in flight, when a former leader's call has made another server the primary. The outcome was credited to whichever primary was recorded when it arrived; here the predecessor said that it follows.

Change: outcomes of a server that is not the recorded primary are ignored while the primary is monitored.

--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -334,7 +334,9 @@
         proposePrimary(now, context, backend, "promoted");
         return true;
     }
-    if (stage_ != Stage::Monitoring) {
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    if (stage_ != Stage::Monitoring || primary == nullptr || primary->backend != backend) {
+        // Another server may have been recorded as the primary since the probe was sent.
         return true;
     }
     logProbeResult(now, backend, outcome.result, context);
--- a/unittests/supervision/supervisorfixture.h
+++ b/unittests/supervision/supervisorfixture.h
@@ -26,6 +26,7 @@
     std::set<std::string> unresponsive;
     std::set<std::string> refusing;
     std::set<std::string> unresponsiveToPauses; ///< Servers that respond to no Pause and no Resume.
+    std::set<std::string> late; ///< Servers whose probes the test answers itself.
     std::set<std::string> steppedDown; ///< Primaries that follow nobody yet.
     std::map<std::string, LogPoint> positions;
     std::vector<ProbeKind> probeKinds;
@@ -75,6 +76,9 @@
         probeKinds.push_back(probe.kind);
         probes.push_back(probe);
         const std::string &name = probe.backend.id.value;
+        if (late.contains(name)) {
+            return;
+        }
         ProbeOutcome outcome;
         outcome.probeId = probe.probeId;
         if (refusing.contains(name)) {
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -141,6 +141,47 @@
     CHECK(promotions.empty());
 }
 
+// A primary that entries confirmed was replaced, because the late outcome of a probe of its predecessor, which follows
+// by now, counted as its own.
+TEST(Supervisor, LateProbeOfTheFormerPrimarySaysNothingOfItsSuccessor)
+{
+    startService();
+    advance(1s);
+    const auto report = [this](std::uint64_t sequence, const std::string &confirmed) {
+        EntryReport entryReport;
+        entryReport.runId = 1;
+        entryReport.sequence = sequence;
+        entryReport.primaries.push_back({ ServiceId { "s" }, BackendId { confirmed }, true, false });
+        supervisor.onReport(now, VmId { "e" }, entryReport);
+    };
+    primaryName = "b1"; // By a call of a former leader.
+    sendHeartbeat("b0", 2);
+    sendHeartbeat("b1", 2);
+    advance(100ms);
+    report(1, "b0"); // It confirmed the role shortly before.
+    advance(100ms);
+    late.insert("b0");
+    probes.clear();
+    for (int round = 0; round < 40 && primary() == "b0"; ++round) {
+        advance(10ms);
+    }
+    CHECK_EQUAL(std::string("b1"), primary());
+    CHECK(promotions.empty());
+    CHECK_EQUAL(1U, probes.size());
+    CHECK_EQUAL(std::string("b0"), probes.back().backend.id.value);
+    unresponsive.insert("b1"); // Control cannot reach it, entries can.
+    ProbeOutcome outcome;
+    outcome.probeId = probes.back().probeId;
+    outcome.result = ProbeResult::IsReplica;
+    supervisor.onProbe(now, outcome);
+    for (std::uint64_t round = 2; round <= 30; ++round) {
+        report(round, "b1");
+        advance(100ms);
+    }
+    CHECK_EQUAL(std::string("b1"), primary());
+    CHECK(promotions.empty());
+}
+
 TEST(Supervisor, DrainingPrimaryIsReplacedWhileStillServing)
 {
     startService();
@@ -218,6 +259,7 @@
 TEST(Supervisor, LeaderThatRegainsItsLeaseKeepsGrantedQuotas)
 {
     startService();
+    advance(1s);
     const auto report = [this](const char *entry, std::uint64_t sequence) {
         EntryReport message;
         message.runId = 1;
