Credit the probe of a primary only to that primary

In daisyrelayd a primary that had just been promoted could be replaced at once: the late result of a probe of its predecessor counted as its own, and a refused connection overrides the hold-off. After a planned handover a suspicion of the predecessor, whose probe was still in flight, kept the successor from being probed.

Cause: FailureDetector kept a suspicion by group, without the server that it concerns.

--- a/include/daisyrelay/control/failuredetector.h
+++ b/include/daisyrelay/control/failuredetector.h
@@ -31,10 +31,12 @@
 public:
     explicit FailureDetector(ControlTiming timing);
 
-    PrimaryAction evaluate(Instant now, const GroupKey &group, const PrimaryEvidence &evidence);
+    PrimaryAction evaluate(
+        Instant now, const GroupKey &group, const BackendId &primary, const PrimaryEvidence &evidence);
 
-    /// Records the result of a probe. If \p isRefused, the host refused the connection, so the database is not running.
-    void onProbeResult(Instant now, const GroupKey &group, bool hasResponded, bool isRefused);
+    /// Records the result of a probe of \p backend; ignored unless it is the suspected primary. If \p isRefused, the
+    /// host refused the connection, so the database is not running.
+    void onProbeResult(Instant now, const GroupKey &group, const BackendId &backend, bool hasResponded, bool isRefused);
 
     /// Starts the hold-off time of \p group.
     void onFailoverStarted(Instant now, const GroupKey &group);
@@ -43,6 +45,7 @@
 
 private:
     struct Suspicion {
+        BackendId primary;
         bool isProbing = false;
         bool hasFailed = false;
         bool isRefused = false;
--- a/lib/control/controlfailover.cpp
+++ b/lib/control/controlfailover.cpp
@@ -63,7 +63,7 @@
 
 void ControlCore::monitorPrimary(Instant now, const GroupTerm &term, const GroupMembers &members)
 {
-    const PrimaryAction action = detector_.evaluate(now, term.group, evidenceFor(now, term));
+    const PrimaryAction action = detector_.evaluate(now, term.group, term.primary, evidenceFor(now, term));
     if (action == PrimaryAction::Replace) {
         startFailover(now, term.group, false);
         return;
@@ -195,7 +195,7 @@
     const PendingQuery query = found->second;
     pendingQueries_.erase(found);
     if (query.purpose == QueryPurpose::Probe) {
-        detector_.onProbeResult(now, query.group, result.point.has_value(), result.isRefused);
+        detector_.onProbeResult(now, query.group, query.backend, result.point.has_value(), result.isRefused);
     } else if (query.purpose == QueryPurpose::CatchUpPoint) {
         memberManager_.onPrimaryPosition(query.group, result.point);
     } else if (const auto failover = failovers_.find(query.group); failover != failovers_.end()) {
--- a/lib/control/failuredetector.cpp
+++ b/lib/control/failuredetector.cpp
@@ -8,15 +8,20 @@
 {
 }
 
-PrimaryAction FailureDetector::evaluate(Instant now, const GroupKey &group, const PrimaryEvidence &evidence)
+PrimaryAction FailureDetector::evaluate(
+    Instant now, const GroupKey &group, const BackendId &primary, const PrimaryEvidence &evidence)
 {
     const bool isSuspected = evidence.isSilent || evidence.isReportedBad;
     if (!isSuspected && !evidence.isOverdue && !evidence.isHomeSilent) {
         suspicions_.erase(group);
         return PrimaryAction::None;
     }
-    const auto [found, isNew] = suspicions_.try_emplace(group);
-    Suspicion &suspicion = found->second;
+    const auto known = suspicions_.find(group);
+    const bool isNew = known == suspicions_.end() || known->second.primary != primary;
+    if (isNew) {
+        suspicions_[group] = { primary, false, false, false, {} };
+    }
+    Suspicion &suspicion = suspicions_[group];
     if (isSuspected && suspicion.hasFailed) {
         const auto damping = damping_.find(group);
         const bool isHeldOff = damping != damping_.end() && now < damping->second.replacedAt + damping->second.holdOff;
@@ -32,13 +37,14 @@
     return PrimaryAction::Probe;
 }
 
-void FailureDetector::onProbeResult(Instant now, const GroupKey &group, bool hasResponded, bool isRefused)
+void FailureDetector::onProbeResult(
+    Instant now, const GroupKey &group, const BackendId &backend, bool hasResponded, bool isRefused)
 {
     const auto found = suspicions_.find(group);
-    if (found == suspicions_.end()) {
+    if (found == suspicions_.end() || found->second.primary != backend) {
         return;
     }
-    found->second = { false, !hasResponded, isRefused, now };
+    found->second = { backend, false, !hasResponded, isRefused, now };
 }
 
 void FailureDetector::onFailoverStarted(Instant now, const GroupKey &group)
--- a/unittests/control/controlcoretest.cpp
+++ b/unittests/control/controlcoretest.cpp
@@ -142,6 +142,7 @@
 {
     FailureDetector detector { ControlTiming {} };
     const GroupKey group = FakeSystem::groupKey(1);
+    const BackendId primary { "p" };
     const PrimaryEvidence reportedBad { false, true, false, false };
     Instant now { seconds(100) };
     Duration previousDelay {};
@@ -151,19 +152,48 @@
         PrimaryAction action = PrimaryAction::None;
         while (action != PrimaryAction::Replace) {
             now += milliseconds(10);
-            action = detector.evaluate(now, group, reportedBad);
+            action = detector.evaluate(now, group, primary, reportedBad);
             if (action == PrimaryAction::Probe) {
-                detector.onProbeResult(now, group, false, false);
+                detector.onProbeResult(now, group, primary, false, false);
             }
         }
         CHECK(round == 0 || now - start >= 2 * previousDelay - milliseconds(20));
         previousDelay = now - start;
     }
     detector.onFailoverStarted(now, group);
-    CHECK(detector.evaluate(now, group, reportedBad) == PrimaryAction::Probe);
-    detector.onProbeResult(now, group, false, true);
+    CHECK(detector.evaluate(now, group, primary, reportedBad) == PrimaryAction::Probe);
+    detector.onProbeResult(now, group, primary, false, true);
     // A refused connection overrides the hold-off.
-    CHECK(detector.evaluate(now, group, reportedBad) == PrimaryAction::Replace);
+    CHECK(detector.evaluate(now, group, primary, reportedBad) == PrimaryAction::Replace);
+}
+
+// A new primary was replaced at once, because the late result of a probe of its predecessor counted as its own.
+TEST(ControlCore, ProbeOfTheFormerPrimarySaysNothingOfItsSuccessor)
+{
+    FailureDetector detector { ControlTiming {} };
+    const GroupKey group = FakeSystem::groupKey(1);
+    const BackendId former { "former" };
+    const BackendId successor { "successor" };
+    const PrimaryEvidence reportedBad { false, true, false, false };
+    const Instant now { seconds(100) };
+    CHECK(detector.evaluate(now, group, former, reportedBad) == PrimaryAction::Probe);
+    detector.onFailoverStarted(now, group);
+    CHECK(detector.evaluate(now, group, successor, reportedBad) == PrimaryAction::Probe);
+    detector.onProbeResult(now, group, former, false, true);
+    CHECK(detector.evaluate(now, group, successor, reportedBad) == PrimaryAction::None);
+    detector.onProbeResult(now, group, successor, true, false);
+    CHECK(detector.evaluate(now, group, successor, reportedBad) != PrimaryAction::Replace);
+}
+
+// A planned handover keeps no suspicion of the former primary, whose probe may never be answered.
+TEST(ControlCore, SuccessorIsProbedAfterAPlannedHandover)
+{
+    FailureDetector detector { ControlTiming {} };
+    const GroupKey group = FakeSystem::groupKey(1);
+    const PrimaryEvidence reportedBad { false, true, false, false };
+    const Instant now { seconds(100) };
+    CHECK(detector.evaluate(now, group, BackendId { "former" }, reportedBad) == PrimaryAction::Probe);
+    CHECK(detector.evaluate(now, group, BackendId { "successor" }, reportedBad) == PrimaryAction::Probe);
 }
 
 TEST(ControlCore, IdleEntryStaysWithinByteBudget)
