Rely on a position for a session's write only if it was requested after it

A session's read could miss its own write: if a server lost the lead and got it back, an entry that had heard of neither promotion labelled the write with the first generation. The first position of the last generation was then taken to cover the write, though a home may have reported it before the write.

Cause: LastWrite held the generation that was believed, but not the time. It now holds the time of the acknowledgment, and a position of the present generation counts only if it was requested after that; without one the read runs at the primary. No encoded type changes.

--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -301,7 +301,7 @@
         Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendResponse> &responses);
     void completeStatement(
         Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendResponse &response);
-    void updateSessionAfterSuccess(Session &session, const std::optional<LogPoint> &position, std::uint64_t generation);
+    void recordSuccess(Instant now, Session &session, std::optional<LogPoint> position, std::uint64_t generation);
     void retryStatement(Instant now, Session &session, BackendPool &pool, ResponseCode code);
     void failStatement(Instant now, Session &session, BackendResponse &response);
     void handleLostResponse(Instant now, Session &session, std::string_view reason);
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -20,7 +20,8 @@
 /// Log position of the last write of a session to one service.
 struct LastWrite {
     LogPoint point;
-    std::uint64_t generation = 0; ///< Generation of the primary that acknowledged the write.
+    std::uint64_t generation = 0; ///< Generation of the primary that acknowledged the write, as known at that time.
+    Instant acknowledgedAt {}; ///< When the acknowledgment arrived here; unknown for a session of another entry.
 };
 
 /// A transaction as its caller sees it. The transaction at the backend server begins with the first statement.
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -114,6 +114,15 @@
     if (lastWrite->second.generation >= service.primary.generation) {
         return std::max(*point, lastWrite->second.point);
     }
+    // The write may belong to a later lead of the same server than this entry knew of, and only positions that were
+    // requested after it cover it then.
+    const PositionSample *later = service.freshness.sampleCovering(lastWrite->second.acknowledgedAt);
+    if (later == nullptr) {
+        return std::nullopt;
+    }
+    if (later->generation >= service.primary.generation) {
+        return std::max(*point, later->point);
+    }
     // The first position of the new primary covers all writes of the session that the promotion kept.
     const std::optional<LogPoint> promotionPoint = service.freshness.firstPointOf(service.primary.generation);
     return promotionPoint ? std::optional(std::max(*point, *promotionPoint)) : std::nullopt;
--- a/lib/proxy/forwarding.cpp
+++ b/lib/proxy/forwarding.cpp
@@ -255,7 +255,7 @@
     Instant now, Session &session, const VmId &home, const ForwardedStatementResponse &message)
 {
     homeLoads_.recordServed();
-    updateSessionAfterSuccess(session, message.response.position, message.generation);
+    recordSuccess(now, session, message.response.position, message.generation);
     if (session.transaction) {
         session.transaction->home = home;
     }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -203,8 +203,8 @@
 {
     PendingStatement &pending = *session.pending;
     const Service &service = serviceOf(pending.route->service);
-    updateSessionAfterSuccess(
-        session, response.position, connection.generation != 0 ? connection.generation : service.primary.generation);
+    recordSuccess(now, session, response.position,
+        connection.generation != 0 ? connection.generation : service.primary.generation);
     if (session.transaction) {
         session.transaction->connection = connection.id;
     }
@@ -218,15 +218,14 @@
     finishStatement(now, session, std::move(callerResponse));
 }
 
-void ProxyCore::updateSessionAfterSuccess(
-    Session &session, const std::optional<LogPoint> &position, std::uint64_t generation)
+void ProxyCore::recordSuccess(Instant now, Session &session, std::optional<LogPoint> position, std::uint64_t generation)
 {
     const PendingStatement &pending = *session.pending;
     const bool isCommit = pending.statement.type == StatementType::Commit;
     const bool hasCommittedWrite
         = isCommit ? session.transaction->hasWritten : (pending.isWrite && !session.transaction);
     if (hasCommittedWrite && position) {
-        session.lastWrites[pending.route->service] = LastWrite { *position, generation };
+        session.lastWrites[pending.route->service] = LastWrite { *position, generation, now };
     }
     if (isCommit) {
         session.transaction.reset();
--- a/unittests/proxy/positionrequesttest.cpp
+++ b/unittests/proxy/positionrequesttest.cpp
@@ -15,9 +15,12 @@
     Metrics metrics;
     ProxyCore core;
     std::optional<std::uint64_t> requested; ///< Sequence of the last position request.
+    std::optional<ForwardedStatement> forwarded; ///< The last statement sent to another entry.
+    std::optional<LogPoint> readMinPoint; ///< Minimum position of the last read sent to the replica.
     std::size_t localReads = 0; ///< Reads sent to the replica.
 
-    explicit RemoteEntry(std::uint64_t runId) : core(ZoneId { "z0" }, log, metrics, runId)
+    explicit RemoteEntry(std::uint64_t runId, ReadGuarantee guarantee = ReadGuarantee::BoundedStaleness)
+        : core(ZoneId { "z0" }, log, metrics, runId)
     {
         EntryUpdate update;
         RouteConfiguration configuration;
@@ -25,7 +28,7 @@
         DatabaseRoute route;
         route.database = "db";
         route.service = ServiceId { "s" };
-        route.guarantee = ReadGuarantee::BoundedStaleness;
+        route.guarantee = guarantee;
         route.maxStaleness = 1500ms;
         route.timeout = 800ms;
         route.latencyTarget = 200ms;
@@ -52,10 +55,15 @@
     }
 
     void read()
+    {
+        execute(StatementType::Read);
+    }
+
+    void execute(StatementType type)
     {
         Statement statement;
         statement.id = "q";
-        statement.type = StatementType::Read;
+        statement.type = type;
         statement.text = "x";
         core.onStatement(now, 1, statement);
         performActions();
@@ -67,11 +75,16 @@
             for (const ProxyAction &action : actions) {
                 if (const auto *open = std::get_if<OpenBackendConnection>(&action); open != nullptr) {
                     core.onConnectionOpened(now, open->connection);
-                } else if (std::holds_alternative<RunExchange>(action)) {
+                } else if (const auto *exchange = std::get_if<RunExchange>(&action); exchange != nullptr) {
                     ++localReads;
+                    readMinPoint = exchange->statements.front().minPoint;
                 } else if (const auto *message = std::get_if<SendToEntry>(&action); message != nullptr) {
                     const auto *request = std::get_if<PositionRequest>(&message->message);
                     requested = request == nullptr ? requested : std::optional(request->sequence);
+                    if (const auto *statement = std::get_if<ForwardedStatement>(&message->message);
+                        statement != nullptr) {
+                        forwarded = *statement;
+                    }
                 }
             }
         }
@@ -119,3 +132,32 @@
     restarted.read();
     CHECK_EQUAL(0U, restarted.localReads);
 }
+
+// A session's read missed its own write, after a server had lost the lead and got it back: a home that knew so reported
+// a position before the write, and another home, which did not, ran the write.
+TEST(PositionRequests, PositionBeforeAWriteOfAFormerGenerationDoesNotCoverIt)
+{
+    RemoteEntry entry(1000, ReadGuarantee::ReadYourWrites);
+    entry.core.onPositionResponse(
+        entry.now, VmId { "home" }, { ServiceId { "s" }, firstRequestOf(entry), 9, { 9, 100 } });
+    entry.execute(StatementType::Write);
+    CHECK(entry.forwarded && entry.forwarded->statement.type == StatementType::Write);
+    ForwardedStatementResponse response;
+    response.sessionId = entry.forwarded->sessionId;
+    response.sequence = entry.forwarded->sequence;
+    response.response.signature = "m";
+    response.response.position = LogPoint { 9, 150 };
+    response.generation = 7;
+    entry.now += 10ms;
+    entry.core.onForwardedStatementResponse(entry.now, VmId { "home" }, response);
+    EntryUpdate update;
+    Topology topology;
+    topology.index = 2;
+    topology.baseIndex = 1;
+    topology.primaries.push_back({ ServiceId { "s" }, BackendId { "primary" }, 9 });
+    update.topology = topology;
+    entry.core.onControlUpdate(entry.now, update);
+    entry.read();
+    CHECK_EQUAL(0U, entry.localReads);
+    CHECK(entry.forwarded->statement.type == StatementType::Read && entry.forwarded->needsPrimary);
+}
