Evaluate the second operand of a property's condition only if it is needed

Cause: RapidCheck captures the condition of RC_ASSERT and overloads && and || for it, so both operands are always evaluated. RC_ASSERT(!before || *before == outcome) reads an empty optional, whose bytes are whatever the stack held. The product code is not at fault. Seven more conditions read what their first operand rules out: an error of a result that has a value, the value of one that has none, the first element of an empty set.

--- a/unittests/config/configurationtest.cpp
+++ b/unittests/config/configurationtest.cpp
@@ -60,6 +60,6 @@
             text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
         }
         const Expected<Configuration> parsed = parseConfiguration(text);
-        RC_ASSERT(parsed.has_value() || !parsed.error().detail.empty());
+        RC_ASSERT((parsed.has_value() || !parsed.error().detail.empty()));
     }));
 }
--- a/unittests/control/controlpropertytest.cpp
+++ b/unittests/control/controlpropertytest.cpp
@@ -126,7 +126,7 @@
     {
         const std::set<Term> acknowledging = system.acknowledgingTerms(group);
         RC_ASSERT(acknowledging.size() <= 1);
-        RC_ASSERT(acknowledging.empty() || *acknowledging.begin() >= highest[group]);
+        RC_ASSERT((acknowledging.empty() || *acknowledging.begin() >= highest[group]));
         highest[group] = acknowledging.empty() ? highest[group] : *acknowledging.begin();
         observed += acknowledging.size();
     }
@@ -139,7 +139,7 @@
             return;
         }
         for (const LogPoint &point : acknowledged->second) {
-            RC_ASSERT(term->starts.size() >= MaxTermStarts || !term->isLost(point));
+            RC_ASSERT((term->starts.size() >= MaxTermStarts || !term->isLost(point)));
         }
         writes = std::max(writes, acknowledged->second.size());
         terms = std::max(terms, term->starts.size());
--- a/unittests/control/controlstatetest.cpp
+++ b/unittests/control/controlstatetest.cpp
@@ -106,7 +106,7 @@
             const std::uint64_t versionBefore = uninterrupted.configVersion();
             const ConfigOutcome outcome = uninterrupted.apply(change, index);
             RC_ASSERT(interrupted.apply(change, index) == outcome);
-            RC_ASSERT(!before || *before == outcome);
+            RC_ASSERT((!before || *before == outcome));
             RC_ASSERT(uninterrupted.configVersion() >= versionBefore);
             RC_ASSERT(uninterrupted.configVersion() - versionBefore == (outcome.isAccepted && !before ? 1 : 0));
             if (*rc::gen::inRange(0, 4) == 0) {
--- a/unittests/draining/drainingproperty.cpp
+++ b/unittests/draining/drainingproperty.cpp
@@ -46,8 +46,8 @@
             const CallerResponse &response = service_.callers[statement.session].responses.at(statement.index);
             const bool isPromise = response.code == ResponseCode::Busy || response.code == ResponseCode::Aborted
                 || response.code == ResponseCode::Lagging || response.code == ResponseCode::NotPrimary;
-            RC_ASSERT(!isPromise || service_.commitCounts[id] == 0);
-            RC_ASSERT(response.code != ResponseCode::Ok || service_.commitCounts[id] == 1);
+            RC_ASSERT((!isPromise || service_.commitCounts[id] == 0));
+            RC_ASSERT((response.code != ResponseCode::Ok || service_.commitCounts[id] == 1));
         }
         RC_ASSERT(service_.violation.empty());
     }
--- a/unittests/limits/circuitbreakertest.cpp
+++ b/unittests/limits/circuitbreakertest.cpp
@@ -32,8 +32,8 @@
             } else {
                 now += std::chrono::milliseconds(step);
             }
-            RC_ASSERT(
-                circuit.state(now) == CircuitBreaker::State::Closed || consecutiveFailures >= options.failureThreshold);
+            RC_ASSERT((circuit.state(now) == CircuitBreaker::State::Closed
+                || consecutiveFailures >= options.failureThreshold));
             RC_ASSERT(circuit.retryAfter(now) <= options.openDelay.maxDelay);
         }
         now += options.openDelay.maxDelay;
--- a/unittests/limits/retrybudgettest.cpp
+++ b/unittests/limits/retrybudgettest.cpp
@@ -24,7 +24,7 @@
                 ++retries;
             }
             RC_ASSERT(retries <= options.initialTokens + successes * options.retriesPerSuccess + 1e-6);
-            RC_ASSERT(budget.tokens() >= 0 && budget.tokens() <= options.maxTokens);
+            RC_ASSERT((budget.tokens() >= 0 && budget.tokens() <= options.maxTokens));
         }
     }));
 }
--- a/unittests/net/protocoltest.cpp
+++ b/unittests/net/protocoltest.cpp
@@ -61,7 +61,7 @@
 {
     CHECK(rc::check([]() {
         const Expected<StatementRequest> request = parseStatementRequest(damaged(ValidStatement));
-        RC_ASSERT(request.has_value() || !request.error().detail.empty());
+        RC_ASSERT((request.has_value() || !request.error().detail.empty()));
     }));
 }
 
@@ -79,7 +79,7 @@
     CHECK(parseAnnouncement("d1", valid).has_value());
     CHECK(rc::check([&valid]() {
         const Expected<BackendAnnouncement> announcement = parseAnnouncement("d1", damaged(valid));
-        RC_ASSERT(announcement.has_value() || !announcement.error().detail.empty());
+        RC_ASSERT((announcement.has_value() || !announcement.error().detail.empty()));
     }));
 }
 
@@ -98,7 +98,7 @@
         const HttpResponse response { *rc::gen::element(200, 409, 422, 500), "application/json", damaged(valid), "",
             0 };
         const Expected<BackendStatementResponse> backendResponse = parseBackendResponse(response, "another");
-        RC_ASSERT(!backendResponse.has_value() || response.body.find("another") != std::string::npos);
+        RC_ASSERT((!backendResponse.has_value() || response.body.find("another") != std::string::npos));
     }));
 }
 
--- a/unittests/proxy/proxypropertytest.cpp
+++ b/unittests/proxy/proxypropertytest.cpp
@@ -93,7 +93,7 @@
         }
         const bool mustNotCommit = response.code != ResponseCode::InDoubt && response.code != ResponseCode::TimedOut
             && response.code != ResponseCode::Failed;
-        RC_ASSERT(!mustNotCommit || found == service.committed.end());
+        RC_ASSERT((!mustNotCommit || found == service.committed.end()));
     }
 
     void read(SessionId session)
--- a/unittests/proxy/workspacestest.cpp
+++ b/unittests/proxy/workspacestest.cpp
@@ -214,7 +214,7 @@
             random.run(100ms);
             const bool ran = !random.callers[session].responses.empty()
                 && random.callers[session].responses.front().code == ResponseCode::Ok;
-            RC_ASSERT(!ran || !revokedAt || sentAt - *revokedAt <= RevocationBound);
+            RC_ASSERT((!ran || !revokedAt || sentAt - *revokedAt <= RevocationBound));
         }
     });
     CHECK(holds);
--- a/unittests/routing/routingtest.cpp
+++ b/unittests/routing/routingtest.cpp
@@ -26,9 +26,9 @@
               const std::optional<Position> found = history.positionCovering(oldest, 1);
               const auto after = log.upper_bound(oldest);
               const Position minPosition = after == log.begin() ? 0 : std::prev(after)->second;
-              RC_ASSERT(!found || *found >= minPosition);
+              RC_ASSERT((!found || *found >= minPosition));
               const bool isTooOld = log.empty() || std::prev(log.end())->first < oldest + std::chrono::milliseconds(25);
-              RC_ASSERT(found || isTooOld);
+              RC_ASSERT((found || isTooOld));
           });
     CHECK(passed);
 }
--- a/unittests/storage/raftstoragetest.cpp
+++ b/unittests/storage/raftstoragetest.cpp
@@ -136,11 +136,12 @@
         std::string &bytes = damaged->bytesOf(*rc::gen::element<std::string>("log", "snapshot"));
         const auto offset = *rc::gen::inRange<std::size_t>(0, bytes.size());
         const auto replacement = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
-        RC_PRE(offset + replacement.size() <= bytes.size() && bytes.substr(offset, replacement.size()) != replacement);
+        RC_PRE(
+            (offset + replacement.size() <= bytes.size() && bytes.substr(offset, replacement.size()) != replacement));
         bytes.replace(offset, replacement.size(), replacement);
         const Expected<StoredState> found = RaftStorage(*damaged).open();
         const bool isTailRemoved = found && found->entries.size() == 3 && found->tornTailBytes > 0;
-        RC_ASSERT(isTailRemoved || (!found && found.error().kind == ErrorKind::StorageCorrupt));
+        RC_ASSERT((isTailRemoved || (!found && found.error().kind == ErrorKind::StorageCorrupt)));
     }));
 }
 
--- a/unittests/wire/configurationchangetest.cpp
+++ b/unittests/wire/configurationchangetest.cpp
@@ -66,7 +66,7 @@
         RC_ASSERT(!applyChange(arbitraryConfiguration(3), change).has_value());
         // The same version with other content, as after a restore from a backup.
         const Expected<RouteConfiguration> result = applyChange(arbitraryConfiguration(1), change);
-        RC_ASSERT(!result.has_value() || *result == target);
+        RC_ASSERT((!result.has_value() || *result == target));
     }));
 }
 
--- a/unittests/wire/forgedmessagetest.cpp
+++ b/unittests/wire/forgedmessagetest.cpp
@@ -95,7 +95,7 @@
         std::int64_t decodedSigned = 0;
         std::uint16_t decodedNarrow = 0;
         in(decodedUnsigned, decodedSigned, decodedNarrow);
-        RC_ASSERT(decodedUnsigned == unsignedValue && decodedSigned == signedValue && decodedNarrow == narrowValue
-            && in.atEnd());
+        RC_ASSERT((decodedUnsigned == unsignedValue && decodedSigned == signedValue && decodedNarrow == narrowValue
+            && in.atEnd()));
     }));
 }
