Log writes of the control log that take longer than usual

The last thing that each control VM did was a write to its log, but no line and no counter tells a VM that waits for its disk from one that hangs.

A write that takes over 200 ms is logged and counted (storage.slow_writes).

No test of its own: RaftDriver takes no other file system.

--- a/lib/io/raftdriver.cpp
+++ b/lib/io/raftdriver.cpp
@@ -4,6 +4,9 @@
 
 namespace daisyrelay {
 
+/// A control VM does nothing else while it stores, so that a leader that takes longer may lose the lead.
+static constexpr Duration MaxUsualWriteTime = std::chrono::milliseconds(200);
+
 Expected<std::unique_ptr<RaftDriver>> RaftDriver::open(
     const std::string &folder, RaftOptions options, Counters &counters, Hooks hooks)
 {
@@ -79,7 +82,13 @@
 void RaftDriver::persist(const RaftWrite &write)
 {
     const bool wasBlocked = core_->isStorageBlocked();
+    const Instant startedAt = Clock::now();
     const Expected<void> stored = storage_.write(write);
+    if (const Duration took = Clock::now() - startedAt; took > MaxUsualWriteTime) {
+        counters_.add("storage.slow_writes");
+        spdlog::warn("storing {} log entries took {} ms", write.record.entries.size(),
+            std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+    }
     if (stored) {
         counters_.add("storage.syncs");
         counters_.add("storage.entries", write.record.entries.size());
