--- a/unittests/soak/standinservicetest.cpp
+++ b/unittests/soak/standinservicetest.cpp
@@ -64,3 +64,37 @@
     StandinService::stepDown(unfenced.servers()[0]);
     CHECK(!unfenced.isPrimary(unfenced.servers()[0]));
 }
+
+// Both kinds of new primary must be played: one that reports what it had received at once, and one that reports less.
+TEST(StandinService, NewPrimaryMayReportOnlyWhatItHasApplied)
+{
+    service.reportsAppliedPosition = true;
+    service.extraReplicationDelay = 1s;
+    service.commit(now, service.primary(), "one", {});
+    service.replicate(now + 100ms);
+    CHECK(service.promote("s-1"));
+    CHECK_EQUAL(1, service.primary().applied);
+    CHECK_EQUAL(0, StandinService::reportedPosition(service.primary()));
+    service.replicate(now + 2s);
+    CHECK_EQUAL(1, StandinService::reportedPosition(service.primary()));
+}
+
+TEST(StandinService, CommitEndsTheLagOfTheReportedPosition)
+{
+    service.reportsAppliedPosition = true;
+    service.extraReplicationDelay = 1h;
+    service.commit(now, service.primary(), "one", {});
+    service.replicate(now + 100ms);
+    CHECK(service.promote("s-1"));
+    service.commit(now + 200ms, service.primary(), "two", {});
+    CHECK_EQUAL(2, StandinService::reportedPosition(service.primary()));
+}
+
+TEST(StandinService, ServerThatIsCutOffReceivesNothing)
+{
+    service.servers()[1].isCutOff = true;
+    service.commit(now, service.primary(), "one", {});
+    service.replicate(now + 100ms);
+    CHECK_EQUAL(0, service.servers()[1].received);
+    CHECK_EQUAL(1, service.servers()[2].received);
+}
