Play the sequence of the incident STALE in the soak

The soak could not play what the record shows: no fault killed all processes at once, cut an availability zone off or replaced a control VM for good, replicas did not stay late over a restart, and no transaction without writes stayed open across a promotion.

The plan outage replaces a control VM, makes all services lose their primaries (a crash, or a cut of their availability zone with refused or hanging connections), keeps replicas 1.2 to 4 s late until the end, and kills all processes, all control VMs or all entries. Half of the callers hold plain transactions without writes open for up to 2.7 s before COMMIT; in a third of them COMMIT is the first statement. A violation of the staleness bound names the server, the entry and the age of the first missing commit, and the run prints what the entry logged of that read.

The draws of the existing plans do not change.

--- a/tools/daisyrelay-soak/main.cpp
+++ b/tools/daisyrelay-soak/main.cpp
@@ -14,20 +14,24 @@
 DEFINE_uint64(seconds, 20, "Duration of the faults in each run, in seconds");
 DEFINE_uint64(entries, 4, "Entries");
 DEFINE_uint64(controls, 3, "Number of control VMs");
-DEFINE_uint64(callers, 0, "Callers; 0 for 12, or 48 with rolls, where drains must not end early for want of sessions");
+DEFINE_uint64(callers, 0,
+    "Callers; 0 for 12, 32 with outages, or 48 with rolls, where drains must not end early for want of sessions");
+DEFINE_string(
+    positions, "", "What new primaries report with outages: 'received' or 'applied' positions; by the seed if empty");
+DEFINE_bool(trace, true, "Let entries log what each read relies on; builds without this setting reject it");
 DEFINE_bool(fences, true, "Whether a primary loses its role at the moment another server is promoted");
 DEFINE_string(previous, "", "Path of another build of daisyrelay-node, which is replaced process by process");
 DEFINE_bool(halfway, false, "Return half of the processes to the previous build before all are replaced");
 DEFINE_string(plan, "faults",
-    "What is played: 'faults', 'rolls' (planned work only: rolling restarts of entries, reloads, configurations) or "
-    "'both'");
+    "What is played: 'faults', 'rolls' (planned work only: rolling restarts of entries, reloads, configurations), "
+    "'both' or 'outage' (all primaries are lost at once, then many processes)");
 DEFINE_string(only, "", "Inject only this kind of fault");
 
 static std::optional<daisyrelay::soak::SoakPlan> parsePlan(const std::string &name)
 {
     using daisyrelay::soak::SoakPlan;
     static const std::map<std::string, SoakPlan> Plans { { "faults", SoakPlan::Faults }, { "rolls", SoakPlan::Rolls },
-        { "both", SoakPlan::Both } };
+        { "both", SoakPlan::Both }, { "outage", SoakPlan::Outage } };
     const auto found = Plans.find(name);
     return found == Plans.end() ? std::nullopt : std::optional(found->second);
 }
@@ -41,12 +45,22 @@
     options.size.entries = FLAGS_entries;
     options.size.controls = FLAGS_controls;
     constexpr std::size_t CallersWithRolls = 48;
-    if (options.plan != daisyrelay::soak::SoakPlan::Faults) {
+    constexpr std::size_t CallersWithOutage = 32;
+    using daisyrelay::soak::SoakPlan;
+    if (options.plan == SoakPlan::Outage) {
+        options.size.callers = CallersWithOutage;
+        options.size.spareControls = 1;
+        options.size.hasEntryLinks = true;
+    } else if (options.plan != SoakPlan::Faults) {
         options.size.callers = CallersWithRolls;
     }
     options.size.callers = FLAGS_callers == 0 ? options.size.callers : FLAGS_callers;
     options.program = FLAGS_node;
     options.folder = FLAGS_folder + "/seed-" + std::to_string(seed);
+    options.tracesReads = FLAGS_trace;
+    if (!FLAGS_positions.empty()) {
+        options.reportsAppliedPosition = FLAGS_positions == "applied";
+    }
     options.platformFences = FLAGS_fences;
     options.onlyKind = FLAGS_only;
     options.previousProgram = FLAGS_previous;
@@ -74,9 +88,10 @@
     gflags::SetUsageMessage("daisyrelay-soak --node PROGRAM --folder FOLDER [--seed N] [--runs N] [--seconds N]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_node.empty() || FLAGS_folder.empty() || FLAGS_entries == 0 || FLAGS_controls == 0
-        || !parsePlan(FLAGS_plan)) {
+        || !parsePlan(FLAGS_plan)
+        || (!FLAGS_positions.empty() && FLAGS_positions != "received" && FLAGS_positions != "applied")) {
         std::cerr << "daisyrelay-soak: --node and --folder are required, --entries and --controls must be above 0, "
-                     "--plan must be faults, rolls or both\n";
+                     "--plan must be faults, rolls, both or outage, --positions received or applied\n";
         return ExitBadUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
--- a/unittests/soak/consistencycheckertest.cpp
+++ b/unittests/soak/consistencycheckertest.cpp
@@ -292,3 +292,20 @@
     checker.recordRun("s", second);
     checkViolation("PINNED");
 }
+
+// A stale read can only be traced if its violation names the server, the entry and how stale the read was.
+TEST(ConsistencyChecker, StaleReadNamesServerEntryAndAge)
+{
+    write("w", 1);
+    now += 2s;
+    SentStatement sent = makeStatement("r", Effect::Read);
+    sent.entry = 3;
+    checker.recordSend(now, "s", 1500ms, "", sent);
+    StatementRun run = makeRun("r", 0);
+    run.signature = "s-1.7";
+    checker.recordRun("s", run);
+    checkViolation("STALE");
+    const std::string &violation = checker.violations().front();
+    CHECK(violation.find("server s-1, entry 3, ") != std::string::npos);
+    CHECK(violation.find("acknowledged 2.001") != std::string::npos);
+}
