Take only a committed write or the Status for a proof that a primary serves

A position that covers the server's own commit covers all before it; a read proves nothing of that kind.

--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -41,6 +41,7 @@
     bool isInTransaction = false; ///< The exchange in flight belongs to a transaction, which keeps the connection.
     bool awaitsBegin = false; ///< The exchange carries only the BEGIN; the statement follows if that succeeds.
     bool needsLease = false; ///< The statement or transaction is valid only while the lease on the primary is.
+    bool commitsWrite = false; ///< Success of the exchange commits a write, which the reported position covers.
     bool confirmsPrimary = false; ///< Success of the exchange confirms that the server is the primary.
     std::uint64_t generation = 0; ///< Generation of the primary when the exchange was sent; zero for a replica.
     std::int64_t startedAtMs = 0; ///< Start of the server process as known when the exchange was sent.
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -15,7 +15,6 @@
 #include "daisyrelay/telemetry.h"
 
 #include <map>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
--- a/include/daisyrelay/proxy/servicestate.h
+++ b/include/daisyrelay/proxy/servicestate.h
@@ -20,8 +20,8 @@
     FreshnessHistory freshness;
     AdmissionQueue queue;
     ClassAdmission admission;
-    /// Generation and process start of the primary that has run a statement since, or whose position has reached the
-    /// end of its log. Before, it may accept a BEGIN and report a position while it still applies what it had received.
+    /// Generation and process start of the primary that has committed a write since, or whose position has reached the
+    /// end of its log. Before, it may report a position while it still applies what it had received.
     std::pair<std::uint64_t, std::int64_t> servingPrimary;
     Instant lastUsedAt {}; ///< When a statement was last submitted.
     Instant lastSampledAt {}; ///< When a position was last requested.
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -84,6 +84,8 @@
     RunExchange exchange { connection.id, {} };
     appendSessionState(session, pending, connection, exchange.statements);
     connection.isInTransaction = !isSingle;
+    connection.commitsWrite
+        = isSingle ? pending.isWrite : pending.statement.type == StatementType::Commit && !isEmptyCommit(session);
     connection.awaitsBegin = pending.role == PendingStatement::Role::First || isGuardedRead;
     connection.payloadIndex = exchange.statements.size();
     if (connection.awaitsBegin) {
--- a/lib/proxy/positions.cpp
+++ b/lib/proxy/positions.cpp
@@ -19,7 +19,7 @@
     const ServiceId &id = pool.record().service;
     Service &service = serviceOf(id);
     const std::pair primary(connection.generation, connection.startedAtMs);
-    if (source == PositionSource::Statement) {
+    if (source == PositionSource::Statement && connection.commitsWrite) {
         service.servingPrimary = std::max(service.servingPrimary, primary);
     } else if (service.servingPrimary != primary) {
         metrics_.add("positions_unproven_total");
