Answer Status in the position model; say more plainly what tests guard against

The model's servers answered no Status, so that positions counted only from committed writes there. Comments that a newcomer could not follow are rewritten, and a test group that the formatter had mangled is a plain one again.

--- a/include/daisyrelay/proxy/servicestate.h
+++ b/include/daisyrelay/proxy/servicestate.h
@@ -1,4 +1,4 @@
-// What an entry knows about one service.
+// State of one service at an entry: primary, backend servers, log positions and queued statements.
 #pragma once
 
 #include "daisyrelay/admission.h"
--- a/unittests/proxy/formerprimarytest.cpp
+++ b/unittests/proxy/formerprimarytest.cpp
@@ -137,7 +137,7 @@
         service.send(session, StatementType::Commit, "COMMIT");
         CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
     }
-    // The server that the entry knows as the primary refuses, so that reads are rejected.
+    // The entry has no valid position left, and the former primary rejects its BEGIN, so reads may be rejected.
     const ReadJudge::Counts afterCommit = judge.run(1500ms);
     CHECK_EQUAL(0U, afterCommit.stale);
     CHECK(afterCommit.served + afterCommit.rejected >= ReaderCount);
@@ -147,8 +147,8 @@
     CHECK(afterUpdate.served >= 200);
 }
 
-// A new primary that responds to nobody was not replaced at once, and an entry that cannot reach it could be chosen to
-// relay statements to it, because the last position of its predecessor counted as its confirmation.
+// Guards against a silent new primary that is reported as confirmed by the last position of its predecessor: control
+// then replaces it late, and lets an entry that cannot reach it relay statements to it.
 TEST(FormerPrimary, ConfirmationOfTheFormerPrimaryIsNotReportedForItsSuccessor)
 {
     service.configure(ReadGuarantee::Primary);
--- a/unittests/proxy/positionmodel.cpp
+++ b/unittests/proxy/positionmodel.cpp
@@ -243,7 +243,7 @@
     });
 }
 
-// A message reaches whichever run of the receiver is there when it arrives.
+// A message is addressed to a VM, so that a restarted receiver gets the messages to its former run.
 void PositionModel::send(std::size_t from, const SendToEntry &message)
 {
     const bool isLate = now_ < messagesLateUntil_;
--- a/unittests/proxy/positionmodelfaults.cpp
+++ b/unittests/proxy/positionmodelfaults.cpp
@@ -38,7 +38,7 @@
     for (Duration at = 500ms + draw(0, 900); at < std::chrono::milliseconds(end - 2000); at += draw(0, 2 * 900)) {
         const std::size_t entry = random() % options.entries;
         const std::size_t server = random() % Servers;
-        // Orders of faults that a uniform choice hardly ever makes.
+        // Sequences of faults that independent draws rarely produce.
         switch (random() % 9) {
         case 0: // The entry stands still during a promotion and does not learn of it afterwards.
             faults.push_back({ Kind::ControlCut, at, entry, 0, draw(3000, 6000), {} });
--- a/unittests/proxy/positionmodelservers.cpp
+++ b/unittests/proxy/positionmodelservers.cpp
@@ -131,6 +131,9 @@
                 + std::to_string(connection.writes) + " writes of " + statement.id);
             commit(connection, response);
             break;
+        case StatementType::Status:
+            response.received = LogPoint { term_, server.received };
+            break;
         default:
             break;
         }
--- a/unittests/proxy/positionrequesttest.cpp
+++ b/unittests/proxy/positionrequesttest.cpp
@@ -90,6 +90,15 @@
         }
     }
 
+    /// Lets the entry request positions. \returns the sequence of the last request.
+    std::uint64_t requestPosition()
+    {
+        read();
+        run(1000ms);
+        CHECK(requested.has_value());
+        return requested.value_or(0);
+    }
+
     void run(Duration duration)
     {
         for (const Instant end = now + duration; now < end; now += 10ms) {
@@ -101,19 +110,13 @@
 
 } // namespace
 
-TEST_GROUP(PositionRequests) { /// Returns the sequence of the first request of a run.
-    static std::uint64_t firstRequestOf(RemoteEntry & entry) { entry.read();
-entry.run(1000ms);
-CHECK(entry.requested.has_value());
-return entry.requested.value_or(0);
-}
-}
-;
+TEST_GROUP(PositionRequests) {};
 
+// Guards against a check of responses that also drops the expected ones.
 TEST(PositionRequests, ResponseToThisRunPermitsLocalReads)
 {
     RemoteEntry entry(1000);
-    const std::uint64_t sequence = firstRequestOf(entry);
+    const std::uint64_t sequence = entry.requestPosition();
     entry.core.onPositionResponse(entry.now, VmId { "home" }, { ServiceId { "s" }, sequence, 7, { 1, 5 } });
     entry.read();
     CHECK_EQUAL(1U, entry.localReads);
@@ -125,8 +128,8 @@
 {
     RemoteEntry former(1000);
     RemoteEntry restarted(2000);
-    const std::uint64_t formerSequence = firstRequestOf(former);
-    firstRequestOf(restarted);
+    const std::uint64_t formerSequence = former.requestPosition();
+    restarted.requestPosition();
     restarted.core.onPositionResponse(
         restarted.now, VmId { "home" }, { ServiceId { "s" }, formerSequence, 7, { 1, 5 } });
     restarted.read();
@@ -139,7 +142,7 @@
 {
     RemoteEntry entry(1000, ReadGuarantee::ReadYourWrites);
     entry.core.onPositionResponse(
-        entry.now, VmId { "home" }, { ServiceId { "s" }, firstRequestOf(entry), 9, { 9, 100 } });
+        entry.now, VmId { "home" }, { ServiceId { "s" }, entry.requestPosition(), 9, { 9, 100 } });
     entry.execute(StatementType::Write);
     CHECK(entry.forwarded && entry.forwarded->statement.type == StatementType::Write);
     ForwardedStatementResponse response;
--- a/unittests/soak/outageplantest.cpp
+++ b/unittests/soak/outageplantest.cpp
@@ -11,6 +11,7 @@
 
 TEST_GROUP(OutagePlan) {};
 
+// A failed run can be played again only if its seed determines the plan.
 TEST(OutagePlan, SameSeedGeneratesSamePlan)
 {
     CHECK_EQUAL(describe(generateOutage(7)), describe(generateOutage(7)));
@@ -28,6 +29,7 @@
     CHECK_EQUAL(9, combinations.size());
 }
 
+// Guards against a plan whose replicas catch up before the processes are killed.
 TEST(OutagePlan, LagLastsFromBeforeTheLossOverTheKill)
 {
     for (std::uint64_t seed = 0; seed < 100; ++seed) {
--- a/unittests/soak/standinservicetest.cpp
+++ b/unittests/soak/standinservicetest.cpp
@@ -79,6 +79,7 @@
     CHECK_EQUAL(1, StandinService::reportedPosition(service.primary()));
 }
 
+// Guards against a stand-in that reports less than its own commits, which the log order excludes.
 TEST(StandinService, CommitEndsTheLagOfTheReportedPosition)
 {
     service.reportsAppliedPosition = true;
@@ -90,6 +91,7 @@
     CHECK_EQUAL(2, StandinService::reportedPosition(service.primary()));
 }
 
+// Guards against a cut that leaves replication running.
 TEST(StandinService, ServerThatIsCutOffReceivesNothing)
 {
     service.servers()[1].isCutOff = true;
--- a/unittests/supervision/supervisortest.cpp
+++ b/unittests/supervision/supervisortest.cpp
@@ -141,8 +141,8 @@
     CHECK(promotions.empty());
 }
 
-// A primary that entries confirmed was replaced, because the late outcome of a probe of its predecessor, which follows
-// by now, counted as its own.
+// Guards against the replacement of a confirmed primary because of a late probe of its predecessor, which reports the
+// replica role.
 TEST(Supervisor, LateProbeOfTheFormerPrimarySaysNothingOfItsSuccessor)
 {
     startService();
