--- a/unittests/proxy/proxycoretest.cpp
+++ b/unittests/proxy/proxycoretest.cpp
@@ -316,6 +316,31 @@
     CHECK(execute(session, StatementType::Read, "x").code == ResponseCode::Ok);
 }
 
+// Reads older than their route allows after a promotion: a read at the new primary let its position pass for the end of
+// its log, although it reported less than it had received.
+TEST(ProxyCore, ReadAtANewPrimaryDoesNotProveItsPosition)
+{
+    start(ReadGuarantee::BoundedStaleness);
+    const SessionId session = service.open("a");
+    CHECK(execute(session, StatementType::Write, "x").code == ResponseCode::Ok);
+    service.run(100ms);
+    service.replicationLag = 60s;
+    CHECK(execute(session, StatementType::Write, "x").code == ResponseCode::Ok);
+    const LogPoint received = service.servers["b0"].applied;
+    service.primary = "b1";
+    ++service.term;
+    service.servers["b0"].applied = service.servers["b1"].applied;
+    service.servers["b1"].received = received;
+    service.sendTopology();
+    service.run(2s);
+    const std::uint64_t runsBefore = service.servers["b0"].statementsRun + service.servers["b2"].statementsRun;
+    for (int at = 0; at < 5; ++at) {
+        CHECK(execute(session, StatementType::Read, "x").code == ResponseCode::Ok);
+        service.run(100ms);
+    }
+    CHECK_EQUAL(runsBefore, service.servers["b0"].statementsRun + service.servers["b2"].statementsRun);
+}
+
 // The position of a former primary, sent to another entry as that of its successor, let reads of that entry miss the
 // session's own writes.
 TEST(ProxyCore, PositionIsSentWithTheGenerationOfThePrimaryThatWasAsked)
