--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -456,8 +456,8 @@
         if (node.isControl) {
             file << "data_folder: \"" << node.folder << "\"\n";
         }
-        file << "tolerated: 1\ngrace: 6s\nplatform_fences: " << (options.fences ? "true" : "false")
-             << "\nplatform: \"" << platform_.text() << "\"\n"
+        file << "tolerated: 1\ngrace: 6s\nplatform_fences: " << (options.fences ? "true" : "false") << "\nplatform: \""
+             << platform_.text() << "\"\n"
              << extraSettings;
         file.close();
         const std::string log = folder + "/" + node.name + ".log";
@@ -469,8 +469,8 @@
             const std::string variable = "DAISYRELAY_CONFIG=" + node.settings;
             const char *const environment[] = { variable.c_str(), "PATH=/usr/bin:/bin", nullptr };
             const char *const arguments[] = { options.program.c_str(), nullptr };
-            ::execve(options.program.c_str(), const_cast<char *const *>(arguments),
-                const_cast<char *const *>(environment));
+            ::execve(
+                options.program.c_str(), const_cast<char *const *>(arguments), const_cast<char *const *>(environment));
             ::_exit(127);
         }
         node.pid = pid;
@@ -643,8 +643,8 @@
         for (int attempt = 0; attempt < 100; ++attempt) {
             net_ = "127." + std::to_string(30 + random() % 200) + ".";
             bool isFree = true;
-            for (const auto &[host, port] : std::vector<std::pair<std::string, int>> { { "9.1", 18783 },
-                     { "2.1", 18782 }, { "2.1", 17440 }, { "1.1", 18784 }, { "5.1", 18080 } }) {
+            for (const auto &[host, port] : std::vector<std::pair<std::string, int>> {
+                     { "9.1", 18783 }, { "2.1", 18782 }, { "2.1", 17440 }, { "1.1", 18784 }, { "5.1", 18080 } }) {
                 const int fd = listenAt({ net_ + host, port });
                 isFree = isFree && fd >= 0;
                 ::close(fd);
@@ -737,8 +737,8 @@
             record().add("order: promote " + id + " by " + holder + " with token " + std::to_string(token));
             const std::optional<long> late = lateBy ? lateBy(holder, id, token) : std::nullopt;
             if (late) {
-                record().add("no answer to token " + std::to_string(token) + "; carried out in "
-                    + std::to_string(*late) + " ms");
+                record().add("no answer to token " + std::to_string(token) + "; carried out in " + std::to_string(*late)
+                    + " ms");
                 run([this, id, token, late] {
                     sleepUnlessOver(*late);
                     if (!isOver) {
@@ -1166,11 +1166,10 @@
                 && database.term == term;
         };
         const auto isReceived = [&] {
-            return options.syncReplicas == 0
-                || std::any_of(databases.begin(), databases.end(), [&](const auto &other) {
-                       return other.get() != &database && other->isUp && other->log.size() >= position
-                           && other->log[position - 1].write == last;
-                   });
+            return options.syncReplicas == 0 || std::any_of(databases.begin(), databases.end(), [&](const auto &other) {
+                return other.get() != &database && other->isUp && other->log.size() >= position
+                    && other->log[position - 1].write == last;
+            });
         };
         changed.wait(lock, [&] { return !isCurrent() || isReceived(); });
         if (!isCurrent()) {
@@ -1211,8 +1210,8 @@
             if (isCut) {
                 sleepUnlessOver(1000);
             } else {
-                const HttpAnswer answer = httpCall(controls[at % controls.size()], "POST",
-                    "/-/Instances.Heartbeat/" + database.id, body, 1000);
+                const HttpAnswer answer = httpCall(
+                    controls[at % controls.size()], "POST", "/-/Instances.Heartbeat/" + database.id, body, 1000);
                 isAcknowledged = answer.status / 100 == 2;
             }
             if (!isAcknowledged) {
@@ -1244,8 +1243,7 @@
                 + "}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,"
                   "\"IdleTimeoutMs\":15000,\"TxIdleMs\":3000}}";
         for (std::size_t at = 0; !isOver; ++at) {
-            const HttpAnswer answer
-                = httpCall({ nodes[at % 3]->host, 18782 }, "POST", "/-/Config.Put", body, 1000);
+            const HttpAnswer answer = httpCall({ nodes[at % 3]->host, 18782 }, "POST", "/-/Config.Put", body, 1000);
             if (answer.status == 200) {
                 record().add("the config is acknowledged");
                 return;
