--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
 // A promotion whose answer is lost is carried out 11.9 s later, after a new leader has let the replicas receive again.
-#include "rig.h"
+#include "../rig-2/rig.h"
 
 #include <cstdlib>
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review-2
 for source in review/*/case.cpp; do
     number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/rig-2 "$source" -o "target/review-2/case$number"
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-2/case$number"
 done
