review: a zone cut beside a release loses acknowledged commits

Cause: where the platform fences, a primary that control cannot reach counts as lost after 250 ms, while entries in its zone still use it. A successor that starts there is unknown to control and acknowledges its commits until the promotion outside takes effect.

--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -298,6 +298,7 @@
 };
 
 struct Options {
+    bool hasPeerProxies = false; ///< Links between processes pass through proxies, so that a zone can be cut off.
     int syncReplicas = 1;
     int promoteMs = 600;
     int entries = 3;
@@ -323,6 +324,7 @@
     std::string folder;
     std::string service = "ledger1";
     std::string writeRoute = "posting1";
+    std::string platformZone = "zb";
     std::atomic<long> acknowledged { 0 };
     std::atomic<long> attempts { 0 };
     std::map<std::string, std::string> outcomeCounts;
@@ -357,8 +359,33 @@
         stop();
     }
 
+    /// Cuts a zone off from the others; clients still reach it. An empty name joins it again.
+    void cutZone(const std::string &zone)
+    {
+        const std::lock_guard lock(zoneMutex_);
+        record().add(zone.empty() ? "zone " + cutZone_ + " is joined again" : "zone " + zone + " is cut off");
+        cutZone_ = zone;
+    }
+
+    bool isCut(const std::string &one, const std::string &other)
+    {
+        const std::lock_guard lock(zoneMutex_);
+        return !cutZone_.empty() && one != other && !one.empty() && !other.empty()
+            && (one == cutZone_ || other == cutZone_);
+    }
+
     void start()
     {
+        if (options.hasPeerProxies) {
+            for (std::size_t from = 0; from < nodes.size(); ++from) {
+                for (std::size_t to = 0; to < nodes.size(); ++to) {
+                    if (from != to) {
+                        run([this, from, to] { serveProxy(from, to); });
+                    }
+                }
+            }
+            sleepMs(50);
+        }
         record().add("the infrastructure listens at " + platform_.text());
         run([this] { servePlatform(); });
         for (auto &node : nodes) {
@@ -459,6 +486,14 @@
         file << "tolerated: 1\ngrace: 6s\nplatform_fences: " << (options.fences ? "true" : "false") << "\nplatform: \""
              << platform_.text() << "\"\n"
              << extraSettings;
+        if (options.hasPeerProxies) {
+            file << "reached_at:\n";
+            for (std::size_t to = 0; to < nodes.size(); ++to) {
+                if (nodes[to].get() != &node) {
+                    file << "  \"" << nodes[to]->host << "\": \"" << proxyAddress(indexOf(node), to).text() << "\"\n";
+                }
+            }
+        }
         file.close();
         const std::string log = folder + "/" + node.name + ".log";
         const pid_t pid = ::fork();
@@ -637,6 +672,74 @@
         }
     }
 
+    std::size_t indexOf(const Node &node) const
+    {
+        std::size_t at = 0;
+        while (nodes[at].get() != &node) {
+            ++at;
+        }
+        return at;
+    }
+
+    [[nodiscard]] Address proxyAddress(std::size_t from, std::size_t to) const
+    {
+        return { net_ + std::to_string(100 + from) + "." + std::to_string(to + 1), 17440 };
+    }
+
+    void serveProxy(std::size_t from, std::size_t to)
+    {
+        const int listener = listenAt(proxyAddress(from, to));
+        if (listener < 0) {
+            std::exit(2);
+        }
+        while (!isOver) {
+            pollfd waiter { listener, POLLIN, 0 };
+            if (::poll(&waiter, 1, 100) != 1) {
+                continue;
+            }
+            if (const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC); fd >= 0) {
+                run([this, from, to, fd] { pump(from, to, fd); });
+            }
+        }
+        ::close(listener);
+    }
+
+    void pump(std::size_t from, std::size_t to, int one)
+    {
+        const auto isStalled = [&] { return isCut(nodes[from]->zone, nodes[to]->zone); };
+        while (isStalled() && !isOver) {
+            sleepMs(5);
+        }
+        const int other = connectTo({ nodes[to]->host, 17440 }, 500);
+        while (other >= 0 && !isOver) {
+            if (isStalled()) {
+                sleepMs(5);
+                continue;
+            }
+            pollfd waiters[2] { { one, POLLIN, 0 }, { other, POLLIN, 0 } };
+            if (::poll(waiters, 2, 20) <= 0) {
+                continue;
+            }
+            bool isOpen = true;
+            for (int side = 0; side < 2; ++side) {
+                if (waiters[side].revents == 0) {
+                    continue;
+                }
+                char bytes[16384];
+                const ssize_t count = ::recv(waiters[side].fd, bytes, sizeof bytes, 0);
+                isOpen = isOpen && count > 0
+                    && sendAll(waiters[1 - side].fd, std::string(bytes, static_cast<std::size_t>(count)));
+            }
+            if (!isOpen) {
+                break;
+            }
+        }
+        ::close(one);
+        if (other >= 0) {
+            ::close(other);
+        }
+    }
+
     void chooseNet()
     {
         std::random_device random;
@@ -684,7 +787,13 @@
             }
             const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd >= 0) {
-                run([this, fd] { servePlatformConnection(fd); });
+                run([this, fd] {
+                    const Node *owner = ownerOf(fd);
+                    while (owner != nullptr && isCut(owner->zone, platformZone) && !isOver) {
+                        sleepMs(5);
+                    }
+                    servePlatformConnection(fd);
+                });
             }
         }
         ::close(listener);
@@ -859,7 +968,7 @@
                     continue;
                 }
                 if (database.get() != leader && !database->isPaused && !database->isDeaf
-                    && database->log.size() < leader->log.size()) {
+                    && !isCut(database->zone, leader->zone) && database->log.size() < leader->log.size()) {
                     if (database->term != leader->term) {
                         truncateTo(*database, *leader);
                         database->term = leader->term;
@@ -915,7 +1024,17 @@
             run([this, &database, fd, lifetime = database.lifetime] {
                 Connection connection;
                 connection.fd = fd;
-                connection.isControl = isOwnedByControl(fd);
+                // The table of sockets is not read at one moment and may miss one.
+                const Node *owner = ownerOf(fd);
+                for (int attempt = 0; owner == nullptr && attempt < 40 && !isOver; ++attempt) {
+                    sleepMs(5);
+                    owner = ownerOf(fd);
+                }
+                if (owner == nullptr) {
+                    record().add("a connection to " + database.id + " has no known owner");
+                }
+                connection.isControl = owner != nullptr && owner->isControl;
+                connection.zone = owner == nullptr ? "" : owner->zone;
                 serve(database, connection, lifetime);
                 const std::lock_guard ending(mutex);
                 database.sockets.erase(fd);
@@ -927,14 +1046,15 @@
     struct Connection {
         int fd = -1;
         bool isControl = false;
+        std::string zone; ///< Of the process at the other end.
         char state = 'I';
         bool isReadOnly = false;
         long beginTerm = 0;
         std::vector<std::string> writes;
     };
 
-    /// Whether the connection comes from a control process, told by the owner of its socket.
-    bool isOwnedByControl(int fd)
+    /// The process at the other end, told by the owner of its socket.
+    const Node *ownerOf(int fd)
     {
         sockaddr_in peer {};
         socklen_t size = sizeof peer;
@@ -959,7 +1079,7 @@
         }
         for (auto &node : nodes) {
             const pid_t pid = node->pid;
-            if (!node->isControl || pid <= 0) {
+            if (pid <= 0) {
                 continue;
             }
             const std::string path = "/proc/" + std::to_string(pid) + "/fd";
@@ -978,10 +1098,10 @@
             }
             ::closedir(directory);
             if (isOwner) {
-                return true;
+                return node.get();
             }
         }
-        return false;
+        return nullptr;
     }
 
     static std::string point(const Database &database)
@@ -995,9 +1115,9 @@
         return std::string("READY ") + connection.state + " " + point(database) + "\r\n";
     }
 
-    bool isSilent(const Database &database, const Connection &connection) const
+    bool isSilent(const Database &database, const Connection &connection)
     {
-        return database.isCutFromControl && connection.isControl;
+        return (database.isCutFromControl && connection.isControl) || isCut(database.zone, connection.zone);
     }
 
     void serve(Database &database, Connection &connection, long lifetime)
@@ -1052,6 +1172,9 @@
 
     bool done(Database &database, Connection &connection, const std::string &mac = "-", const std::string &row = "")
     {
+        if (isSilent(database, connection)) {
+            return true;
+        }
         return sendAll(connection.fd,
             (row.empty() ? "" : "ROW " + row + "\r\n") + "DONE " + mac + "\r\n" + ready(database, connection));
     }
@@ -1059,7 +1182,8 @@
     bool fail(Database &database, Connection &connection, const std::string &code)
     {
         connection.state = connection.state == 'I' ? 'I' : 'E';
-        return sendAll(connection.fd, "ERROR " + code + " " + database.id + "\r\n" + ready(database, connection));
+        return isSilent(database, connection)
+            || sendAll(connection.fd, "ERROR " + code + " " + database.id + "\r\n" + ready(database, connection));
     }
 
     std::string mac(const Database &database)
@@ -1183,22 +1307,22 @@
     void checkIn(Database &database, long lifetime)
     {
         std::size_t at = std::hash<std::string> {}(database.id);
-        std::vector<Address> controls;
+        std::vector<const Node *> controls;
         for (auto &node : nodes) {
             if (node->isControl) {
-                controls.push_back({ node->host, 18782 });
+                controls.push_back(node.get());
             }
         }
         sleepUnlessOver(database.beatDelayMs);
         while (!isOver) {
             std::string body;
-            bool isCut = false;
+            bool isUnreachable = false;
             {
                 const std::lock_guard lock(mutex);
                 if (!database.isUp || database.lifetime != lifetime) {
                     return;
                 }
-                isCut = database.isCutFromControl;
+                isUnreachable = database.isCutFromControl || isCut(database.zone, controls[at % controls.size()]->zone);
                 database.mustBeat = false;
                 body = "{\"Service\":\"" + service + "\",\"Addr\":\"" + database.address.text() + "\",\"Zone\":\""
                     + database.zone + "\",\"Version\":\"v1\",\"Slots\":2,\"State\":\""
@@ -1207,11 +1331,11 @@
                     + ",\"born\":" + std::to_string(database.born) + "}";
             }
             bool isAcknowledged = false;
-            if (isCut) {
+            if (isUnreachable) {
                 sleepUnlessOver(1000);
             } else {
-                const HttpAnswer answer = httpCall(
-                    controls[at % controls.size()], "POST", "/-/Instances.Heartbeat/" + database.id, body, 1000);
+                const HttpAnswer answer = httpCall({ controls[at % controls.size()]->host, 18782 }, "POST",
+                    "/-/Instances.Heartbeat/" + database.id, body, 1000);
                 isAcknowledged = answer.status / 100 == 2;
             }
             if (!isAcknowledged) {
@@ -1342,6 +1466,8 @@
 
     std::string net_;
     Address platform_;
+    std::mutex zoneMutex_;
+    std::string cutZone_;
     std::size_t addedDatabases_ = 0;
     long highestToken_ = 0;
     std::atomic<long> macs_ { 0 };
