proxy: acknowledge a commit once a known replica has received it

Cause: the primary acknowledges a commit on the receipt of any server, here of one that starts in the cut zone and can't reach control. A promotion keeps what the surveyed servers have.

Change: an entry acknowledges a commit once a replica has confirmed its receipt that every later survey asks: control has recorded it, and the connection to it is older than a report that control answered without replacing the primary. Control withdraws such a service while the primary is replaced wherever the platform fences, too. Writes are rejected at once while no replica can confirm them.

--- a/include/daisyrelay/proxy.h
+++ b/include/daisyrelay/proxy.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daisyrelay/proxy/backendpool.h"
+#include "daisyrelay/proxy/commitreceipts.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
 #include "daisyrelay/proxy/primarylease.h"
 #include "daisyrelay/proxy/proxyactions.h"
--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -24,6 +24,7 @@
         Statement, ///< Runs a statement of a caller.
         Sample, ///< Requests the log position of a primary.
         Cleanup, ///< Rolls back an abandoned transaction.
+        Receipt, ///< Asks a replica which commits it has received.
     };
 
     ConnectionId id = 0;
@@ -33,6 +34,7 @@
     Purpose purpose = Purpose::Statement;
     SessionId session = 0; ///< Session whose statement or transaction runs here; zero if there is none.
     Instant stateSince {}; ///< When the connection entered its current state.
+    Instant openedAt {}; ///< The server process at the other end runs since then or longer.
     Instant deadline {}; ///< The connection is closed if opening or the exchange has not ended by this time.
     std::map<std::string, std::string> values; ///< Session values set at the backend server.
     std::set<std::string> prepared; ///< Names of the statements prepared at the backend server.
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -116,20 +116,6 @@
     static constexpr SessionId FirstForwardedSession = SessionId { 1 } << 62U;
 
     using Service = ServiceState;
-    /// A forwarded session that its entry has ended.
-    struct EndedSession {
-        std::uint64_t sequence = 0; ///< Statements up to this sequence number must not run.
-        Instant endedAt {};
-    };
-
-    /// A session that waits for the first configuration.
-    struct OpeningSession {
-        SessionId id = 0;
-        std::string database;
-        std::string key;
-        Instant deadline {};
-    };
-
     /// Why a caller may not run a statement now.
     struct AccessDenial {
         ResponseCode code = ResponseCode::Unauthorized;
@@ -137,11 +123,6 @@
         Duration retryAfter {}; ///< Zero if a retry cannot help.
     };
 
-    struct PredictedLatency {
-        Duration wait {};
-        Duration serviceTime {};
-    };
-
     enum class Placement : std::uint8_t {
         Started,
         Waiting, ///< Stays queued until a connection is free or the time of the next attempt has come.
@@ -159,6 +140,7 @@
     void dispatchAll(Instant now);
     void removePool(Instant now, const BackendId &id);
     Service &serviceOf(const ServiceId &service);
+    [[nodiscard]] std::uint32_t syncReplicasOf(const ServiceId &service) const;
 
     // leases.cpp
     /// Returns whether \p update is older than one that was applied.
@@ -284,6 +266,7 @@
     void sendAfterBegin(Instant now, Session &session, BackendConnection &connection);
     void startExchange(Instant now, BackendConnection &connection, RunExchange exchange);
     Statement makePayload(const Session &session);
+    static Statement makeOwnStatement(StatementType type);
     void appendSessionState(const Session &session, const PendingStatement &pending, BackendConnection &connection,
         std::vector<Statement> &out);
     const std::string &preparedName(const PreparedStatement &statement);
@@ -294,13 +277,29 @@
     void closeConnectionsAboveQuota(Instant now, BackendPool &pool);
     void closeConnection(Instant now, BackendPool &pool, ConnectionId connection, ConnectionLoss loss);
 
+    // receipts.cpp
+    /// Tells whether a commit is acknowledged to its caller only once a replica has confirmed its receipt.
+    [[nodiscard]] bool needsReceipt(const Service &service) const;
+    [[nodiscard]] std::vector<BackendPool *> receiptPools(const Service &service);
+    void confirmReplicas(const EntryUpdate &update, Instant reportSentAt);
+    [[nodiscard]] bool canObtainReceipt(Instant now, const Service &service);
+    /// Lets a statement wait, or rejects it, while no replica can confirm commits.
+    std::optional<Placement> waitForReplicas(Instant now, Session &session, const Service &service);
+    void holdCommit(Instant now, Session &session, const BackendPool &pool, const BackendConnection &connection,
+        BackendResponse &response);
+    void requestReceipts(Instant now, Service &service);
+    void onReceipt(
+        Instant now, const BackendPool &pool, const BackendConnection &connection, const BackendResponse &response);
+    void reportNewReplica(Instant now, const BackendPool &pool, Instant openedAt);
+
     // outcomes.cpp
     void onBeginResponse(Instant now, BackendPool &pool, BackendConnection &connection, const BackendResponse &response,
         Session *session);
     void onStatementResponses(
         Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendResponse> &responses);
-    void completeStatement(
-        Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendResponse &response);
+    /// \p connection runs the rest of the transaction; zero if there is none.
+    void completeStatement(Instant now, Session &session, const BackendId &backend, std::uint64_t generation,
+        ConnectionId connection, BackendResponse &response);
     void recordSuccess(Instant now, Session &session, std::optional<LogPoint> position, std::uint64_t generation);
     void retryStatement(Instant now, Session &session, BackendPool &pool, ResponseCode code);
     void failStatement(Instant now, Session &session, BackendResponse &response);
--- a/include/daisyrelay/proxy/proxytiming.h
+++ b/include/daisyrelay/proxy/proxytiming.h
@@ -61,6 +61,9 @@
     Duration drainEndMargin = std::chrono::milliseconds(300);
     /// How long a new session waits for the first configuration.
     Duration maxConfigurationWait = std::chrono::milliseconds(1000);
+    /// Replicas are known to be recorded by control for this time after it has confirmed that. Control removes a record
+    /// no sooner than after thirty seconds of silence.
+    Duration maxReplicaRecordAge = std::chrono::seconds(10);
     /// A BEGIN needs no slot at the server, so the response is expected at once.
     Duration beginTimeout = std::chrono::milliseconds(120);
     /// How long the exchanges in flight with a withdrawn primary may take to end. Most statements take less; those that
--- a/include/daisyrelay/proxy/servicestate.h
+++ b/include/daisyrelay/proxy/servicestate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daisyrelay/admission.h"
+#include "daisyrelay/proxy/commitreceipts.h"
 #include "daisyrelay/proxy/freshnesshistory.h"
 #include "daisyrelay/wire.h"
 
@@ -12,11 +13,19 @@
 
 namespace daisyrelay {
 
+/// How long a new statement is expected to wait and to run.
+struct PredictedLatency {
+    Duration wait {};
+    Duration serviceTime {};
+};
+
 struct ServiceState {
     PrimaryRecord primary;
     std::set<BackendId> backends; ///< All backend servers of the service.
     bool isFailingOver = false;
     Instant failoverEndsAt {}; ///< Expected by control; valid while isFailingOver.
+    std::uint32_t syncReplicas = 0; ///< Replicas that must have received a write before it is acknowledged.
+    CommitReceipts receipts;
     FreshnessHistory freshness;
     AdmissionQueue queue;
     ClassAdmission admission;
--- a/include/daisyrelay/proxy/session.h
+++ b/include/daisyrelay/proxy/session.h
@@ -36,6 +36,14 @@
     std::shared_ptr<const DatabaseRoute> route;
 };
 
+/// A commit that the primary has acknowledged and the entry has not. See CommitReceipts.
+struct HeldCommit {
+    BackendResponse response;
+    BackendId backend; ///< The primary.
+    std::uint64_t generation = 0; ///< Of the primary when the commit was sent.
+    Instant receivedAt {}; ///< When the response arrived.
+};
+
 /// A statement of a caller between its arrival and the response.
 struct PendingStatement {
     enum class Role : std::uint8_t {
@@ -71,6 +79,7 @@
     std::uint32_t overloads = 0; ///< Number of homes that could not have run the statement in time.
     std::optional<Duration> shortestWait; ///< Shortest wait that such a home predicted.
     ResponseCode lastRejection = ResponseCode::Busy;
+    std::optional<HeldCommit> heldCommit; ///< Set once the primary has committed, until a replica confirms the receipt.
 
     /// Returns the number of attempts that were not rejected.
     [[nodiscard]] std::uint32_t countedAttempts() const
@@ -86,6 +95,20 @@
     std::uint64_t sequence = 0; ///< Sequence number of the request in progress.
 };
 
+/// A forwarded session that its entry has ended.
+struct EndedSession {
+    std::uint64_t sequence = 0; ///< Statements up to this sequence number must not run.
+    Instant endedAt {};
+};
+
+/// A session that waits for the first configuration.
+struct OpeningSession {
+    SessionId id = 0;
+    std::string database;
+    std::string key;
+    Instant deadline {};
+};
+
 struct Session {
     SessionId id = 0;
     std::optional<ForwardingOrigin> origin; ///< Set if the session's caller is connected to another entry.
--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -74,6 +74,8 @@
     void findPrimary(Instant now, const MonitorContext &context);
     void monitor(Instant now, const MonitorContext &context);
     void startFailover(Instant now, const MonitorContext &context, std::string_view reason);
+    /// Withdraws the service from the entries and makes the primary step down.
+    void withdraw(Instant now, const MonitorContext &context);
     void awaitRelease(Instant now, const MonitorContext &context);
     void stepDown(Instant now, const MonitorContext &context);
     /// Tells whether the platform fences and the primary cannot confirm that it is a replica.
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -72,6 +72,7 @@
     BackendConnection &connection = connections_.at(id);
     connection.state = BackendConnection::State::Idle;
     connection.stateSince = now;
+    connection.openedAt = now;
     openFailures_ = 0;
     isAtConnectionLimit_ = false;
     lastResponseAt_ = now;
--- a/lib/proxy/dispatch.cpp
+++ b/lib/proxy/dispatch.cpp
@@ -141,6 +141,9 @@
     if (!canUsePrimary(now, session.pending->route->service)) {
         return waitForLease(now, session, service);
     }
+    if (const std::optional<Placement> placement = waitForReplicas(now, session, service); placement) {
+        return *placement;
+    }
     const bool isAvailable = pool != nullptr && pool->isUsable(now) && !pool->isUnresponsive(now);
     if (!isAvailable) {
         if (rejectDuringFailover(now, session, service)) {
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -5,7 +5,7 @@
 
 namespace daisyrelay {
 
-static Statement makeOwnStatement(StatementType type)
+Statement ProxyCore::makeOwnStatement(StatementType type)
 {
     Statement statement;
     statement.type = type;
@@ -214,6 +214,7 @@
     connection.stateSince = now;
     const ServiceId service = pool.record().service;
     sampleNewPrimary(now, pool);
+    requestReceipts(now, serviceOf(service));
     closeConnectionsAboveQuota(now, pool);
     dispatch(now, service);
 }
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -34,6 +34,7 @@
         return;
     }
     sampleNewPrimary(now, pool);
+    reportNewReplica(now, pool, now);
     const ServiceId service = pool.record().service;
     dispatch(now, service);
 }
@@ -102,6 +103,9 @@
         recordPosition(
             now, pool, connection, hasCaughtUp ? responses.back() : responses.front(), PositionSource::Sample);
     }
+    if (connection.purpose == BackendConnection::Purpose::Receipt) {
+        onReceipt(now, pool, connection, responses.front());
+    }
     if (state != TransactionState::Idle) {
         closeConnection(now, pool, id, ConnectionLoss::Broken);
         return;
@@ -181,8 +185,11 @@
         session->pending->retryAt = now + timing_.busyBackoff;
         return;
     }
-    if (response.code == ResponseCode::Ok) {
-        completeStatement(now, *session, pool, connection, response);
+    const bool isHeld = connection.commitsWrite && needsReceipt(serviceOf(pool.record().service));
+    if (response.code == ResponseCode::Ok && isHeld) {
+        holdCommit(now, *session, pool, connection, response);
+    } else if (response.code == ResponseCode::Ok) {
+        completeStatement(now, *session, pool.record().id, connection.generation, id, response);
     } else if (didNotRun(response.code) && session->pending->role != PendingStatement::Role::Next) {
         retryStatement(now, *session, pool, response.code);
     } else {
@@ -201,19 +208,18 @@
     }
 }
 
-void ProxyCore::completeStatement(
-    Instant now, Session &session, BackendPool &pool, BackendConnection &connection, BackendResponse &response)
+void ProxyCore::completeStatement(Instant now, Session &session, const BackendId &backend, std::uint64_t generation,
+    ConnectionId connection, BackendResponse &response)
 {
     PendingStatement &pending = *session.pending;
     const Service &service = serviceOf(pending.route->service);
-    recordSuccess(now, session, response.position,
-        connection.generation != 0 ? connection.generation : service.primary.generation);
+    recordSuccess(now, session, response.position, generation != 0 ? generation : service.primary.generation);
     if (session.transaction) {
-        session.transaction->connection = connection.id;
+        session.transaction->connection = connection;
     }
-    session.generation = connection.generation;
-    metrics_.add(pool.record().id == service.primary.backend ? "answers_total{role=\"primary\"}"
-                                                             : "answers_total{role=\"replica\"}");
+    session.generation = generation;
+    metrics_.add(
+        backend == service.primary.backend ? "answers_total{role=\"primary\"}" : "answers_total{role=\"replica\"}");
     CallerResponse callerResponse;
     callerResponse.signature = std::move(response.signature);
     callerResponse.rows = std::move(response.rows);
@@ -335,6 +341,9 @@
     const PendingStatement pending = std::move(*session.pending);
     session.pending.reset();
     activeSessions_.erase(session.id);
+    if (pending.heldCommit) {
+        serviceOf(pending.route->service).receipts.remove(session.id);
+    }
     session.lastActiveAt = now;
     if (session.transaction) {
         session.transaction->idleSince = now;
--- a/lib/proxy/overload.cpp
+++ b/lib/proxy/overload.cpp
@@ -18,7 +18,7 @@
 }
 
 // Statements that wait for a failover are not rejected here: their wait does not depend on the load.
-std::optional<ProxyCore::PredictedLatency> ProxyCore::predictLatency(
+std::optional<PredictedLatency> ProxyCore::predictLatency(
     Instant now, const Service &service, std::uint32_t priority, bool needsPrimary) const
 {
     double statementsPerTick = 0;
--- a/lib/proxy/proxycore.cpp
+++ b/lib/proxy/proxycore.cpp
@@ -41,6 +41,7 @@
     if (session.pending) {
         dequeue(session);
         activeSessions_.erase(id);
+        serviceOf(session.pending->route->service).receipts.remove(id);
     }
     const ConnectionId connection = session.pending && session.pending->connection != 0
         ? session.pending->connection
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -32,6 +32,7 @@
     }
     refreshConnectionsAndPositions(now);
     for (auto &[id, service] : services_) {
+        requestReceipts(now, service);
         if (!service.queue.empty()) {
             dispatch(now, id);
         }
@@ -64,6 +65,11 @@
         PendingStatement &pending = *session->pending;
         if (!pending.home.empty()) {
             checkForwarded(now, *session);
+        } else if (pending.heldCommit) {
+            if (now >= pending.deadline) {
+                metrics_.add("receipts_missing_total");
+                handleLostResponse(now, *session, "no-receipt");
+            }
         } else if (pending.connection != 0) {
             checkRunning(now, *session);
         } else if (pending.role == PendingStatement::Role::Next) {
--- a/lib/proxy/topology.cpp
+++ b/lib/proxy/topology.cpp
@@ -1,19 +1,31 @@
 // Applies updates from control: configuration, backend servers, primaries and quotas.
 #include "daisyrelay/proxy/proxycore.h"
 
+#include <algorithm>
+
 namespace daisyrelay {
 
+std::uint32_t ProxyCore::syncReplicasOf(const ServiceId &service) const
+{
+    const auto found = std::find_if(configuration_.services.begin(), configuration_.services.end(),
+        [&](const ServiceLimits &limits) { return limits.service == service; });
+    return found == configuration_.services.end() ? 0 : found->syncReplicas;
+}
+
 ProxyCore::Service &ProxyCore::serviceOf(const ServiceId &service)
 {
     const auto found = services_.find(service);
     if (found != services_.end()) {
         return found->second;
     }
-    return services_
-        .emplace(service,
-            Service { {}, {}, false, {}, FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {},
-                {}, {}, {} })
-        .first->second;
+    Service &added
+        = services_
+              .emplace(service,
+                  Service { {}, {}, false, {}, 0, CommitReceipts(timing_.maxReplicaRecordAge),
+                      FreshnessHistory(timing_.minSampleSpacing, timing_.maxSampleAge), {}, {}, {}, {}, {}, {} })
+              .first->second;
+    added.syncReplicas = syncReplicasOf(service);
+    return added;
 }
 
 void ProxyCore::onControlUpdate(Instant now, const EntryUpdate &update)
@@ -28,13 +40,17 @@
     }
     // A report of a former run may have had the same sequence number.
     const bool isOwnReport = update.runId == 0 || update.runId == sessionIdBase_;
-    if (const std::optional<Instant> sentAt = sentReports_.sentAt(update.sequence); sentAt && isOwnReport) {
+    const std::optional<Instant> sentAt = isOwnReport ? sentReports_.sentAt(update.sequence) : std::nullopt;
+    if (sentAt) {
         configurationLease_.confirm(*sentAt, update.configVersion, configuration_.version);
         applyCoordinators(now, *sentAt, update.coordinators);
     }
     if (update.topology) {
         applyTopology(now, *update.topology);
     }
+    if (sentAt) {
+        confirmReplicas(update, *sentAt);
+    }
     if (update.homes) {
         applyHomes(*update.homes);
         log_.log(
@@ -149,6 +165,9 @@
         serviceOf(route.service);
     }
     routes_ = std::move(routes);
+    for (auto &[id, service] : services_) {
+        service.syncReplicas = syncReplicasOf(id);
+    }
     directory_ = std::make_shared<const WorkspaceDirectory>(configuration);
     endRevokedSessions(now);
     rateLimits_.setLimits(now, configuration.workspaces);
@@ -256,6 +275,9 @@
                     { "generation", primary.generation } });
             service.primary = primary;
             service.lastSampledAt = {};
+            for (const SessionId session : service.receipts.takeAll()) {
+                handleLostResponse(now, *findSession(session), "primary-replaced");
+            }
         }
     }
 }
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -271,12 +271,7 @@
         }
         return;
     }
-    const BackendRecord *former = primary == nullptr ? nullptr : context.state.find(primary->backend);
-    context.leases.withdraw(now, service_, context.nextId(), former == nullptr ? ZoneId {} : former->zone,
-        [&](const VmId &entry) { return primary == nullptr || context.entries.mayConnect(entry, primary->backend); });
-    enterStage(now, Stage::Withdrawing);
-    stepDown(now, context);
-    awaitRelease(now, context);
+    withdraw(now, context);
 }
 
 void PrimaryMonitor::logProbeResult(
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -5,6 +5,17 @@
 
 namespace daisyrelay {
 
+void PrimaryMonitor::withdraw(Instant now, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const BackendRecord *former = primary == nullptr ? nullptr : context.state.find(primary->backend);
+    context.leases.withdraw(now, service_, context.nextId(), former == nullptr ? ZoneId {} : former->zone,
+        [&](const VmId &entry) { return primary == nullptr || context.entries.mayConnect(entry, primary->backend); });
+    enterStage(now, Stage::Withdrawing);
+    stepDown(now, context);
+    awaitRelease(now, context);
+}
+
 // A primary that confirms its new role commits nothing any more, whatever entries still hold.
 void PrimaryMonitor::stepDown(Instant now, const MonitorContext &context)
 {
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -73,9 +73,7 @@
         retryAfter(now, timing_.promotionRetryDelay, context);
         return;
     }
-    enterStage(now, Stage::Withdrawing);
-    stepDown(now, context);
-    awaitRelease(now, context);
+    withdraw(now, context);
 }
 
 void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
--- a/unittests/proxy/fakeservice.cpp
+++ b/unittests/proxy/fakeservice.cpp
@@ -32,7 +32,7 @@
     route.timeout = timeout;
     route.latencyTarget = 200ms;
     configuration.routes.push_back(route);
-    configuration.services.push_back({ Service, 16, 0 });
+    configuration.services.push_back({ Service, 16, syncReplicas });
     configuration.transactionIdleTimeout = 3000ms;
     update.configuration = encodeConfigurationUpdate(configuration);
     update.configVersion = configVersion;
@@ -64,11 +64,27 @@
         EntryUpdate update;
         update.sequence = reportSequence_;
         update.configVersion = configVersion;
+        update.withdrawn = withdrawn;
         core.onControlUpdate(now, update);
     }
     performActions();
 }
 
+void FakeService::breakConnections(const std::string &server)
+{
+    std::vector<ConnectionId> broken;
+    for (const auto &[id, connection] : connections) {
+        if (connection.server == server) {
+            broken.push_back(id);
+        }
+    }
+    for (const ConnectionId id : broken) {
+        connections.erase(id);
+        core.onConnectionLost(now, id, ConnectionLoss::Broken);
+    }
+    performActions();
+}
+
 SessionId FakeService::open(const std::string &name, const std::string &key)
 {
     const SessionId id = nextSession_++;
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -73,6 +73,8 @@
     std::vector<Workspace> workspaces; ///< Callers need keys if there are any; applied by configure().
     std::uint64_t configVersion = 0; ///< Version of the configuration that control has.
     bool isControlReachable = true;
+    std::uint32_t syncReplicas = 0; ///< Of the service; applied by configure().
+    std::vector<PrimaryWithdrawal> withdrawn; ///< Named by all updates of control.
     std::size_t maxConnections = 1000; ///< Of each server.
 
     explicit FakeService(std::size_t size = 3, Duration revocationBound = Duration::zero());
@@ -96,6 +98,9 @@
     /// Advances the time. Replicas apply commits that are older than replicationLag.
     void run(Duration duration);
 
+    /// Ends all connections to \p server, as a restart does.
+    void breakConnections(const std::string &server);
+
     /// Makes \p server the primary; commits that it has not applied are lost. Has no effect on the current primary.
     void promote(const std::string &server);
 
--- a/unittests/supervision/latereplicationtest.cpp
+++ b/unittests/supervision/latereplicationtest.cpp
@@ -154,6 +154,26 @@
     CHECK_EQUAL(1U, promotions.size());
 }
 
+// Entries count receipts of replicas that have restarted unless the service is withdrawn.
+TEST(LateReplication, ServiceIsWithdrawnWhileThePrimaryIsReplaced)
+{
+    startService(1);
+    EntryReport report;
+    report.sequence = 1;
+    supervisor.onReport(now, VmId { "e" }, report);
+    performActions();
+    CHECK_EQUAL(0U, updates.back().withdrawn.size());
+    unresponsive = { "b0" };
+    advance(1s);
+    CHECK_EQUAL(1U, promotions.size());
+    CHECK_EQUAL(1U, updates.back().withdrawn.size());
+    supervisor.onPromotion(now, ServiceId { "s" }, promotions.front().fencingToken, PromotionOutcome::Accepted);
+    primaryName = promotions.front().backend.value;
+    positions[primaryName] = { 2, 9 };
+    advance(500ms);
+    CHECK_EQUAL(0U, updates.back().withdrawn.size());
+}
+
 // Where no commit waits for a replica, the primary serves until the promotion takes effect.
 TEST(LateReplication, PrimaryWithoutSynchronousReplicasDoesNotStepDown)
 {
--- a/unittests/supervision/replicationsimulation.cpp
+++ b/unittests/supervision/replicationsimulation.cpp
@@ -12,8 +12,9 @@
     : random_(seed), faults_(faults)
 {
     for (std::size_t index = 0; index < servers; ++index) {
-        servers_.push_back({ "b" + std::to_string(index) });
+        servers_.push_back({ "b" + std::to_string(index), static_cast<int>(index % 3) });
     }
+    addEntries();
     supervisor_.onLeadership(now_, true, leaderTerm_, { VmId { "c" } });
     PutConfiguration change;
     change.configuration.version = 1;
@@ -22,6 +23,11 @@
     performActions();
 }
 
+ServiceId ReplicationSimulation::backendService()
+{
+    return Service;
+}
+
 int ReplicationSimulation::draw(int limit)
 {
     return std::uniform_int_distribution<int>(0, limit - 1)(random_);
@@ -74,6 +80,7 @@
         action();
     }
     replicate();
+    stepEntries();
     constexpr Duration HeartbeatInterval = 500ms;
     if (now_.time_since_epoch() % HeartbeatInterval == Duration::zero()) {
         sendHeartbeats();
@@ -96,7 +103,7 @@
     std::size_t received = 0;
     for (Server &server : servers_) {
         if (&server == &primary || !server.isUp || !server.receives || server.pauseTerm > primary.term
-            || holdsOneIn(3)) {
+            || !canReach(server.zone, primary.zone) || holdsOneIn(3)) {
             continue;
         }
         server.term = primary.term;
@@ -113,11 +120,15 @@
             primary.log.begin() + static_cast<std::ptrdiff_t>(end));
         received = std::max(received, server.log.size());
     }
-    const std::uint64_t last = acknowledged_.empty() ? 0 : acknowledged_.back();
-    const auto first = std::upper_bound(primary.log.begin(), primary.log.end(), last) - primary.log.begin();
+    const auto first = std::upper_bound(primary.log.begin(), primary.log.end(), lastReceived_) - primary.log.begin();
     for (auto position = static_cast<std::size_t>(first); position < received; ++position) {
-        acknowledged_.push_back(primary.log[position]);
-        ++acknowledgedCommits;
+        lastReceived_ = primary.log[position];
+        if (hasEntries()) {
+            acknowledgeToEntry(lastReceived_, position + 1);
+        } else {
+            acknowledged_.insert(lastReceived_);
+            ++acknowledgedCommits;
+        }
     }
 }
 
@@ -138,7 +149,10 @@
     if (servers_.size() >= MaxServers || !servers_[primary_].isUp) {
         return;
     }
-    Server added { "b" + std::to_string(servers_.size()) };
+    Server added { "b" + std::to_string(servers_.size()), draw(3) };
+    if (!canReach(added.zone, servers_[primary_].zone)) {
+        return;
+    }
     added.startedAtMs = nextStart_++;
     added.term = servers_[primary_].term;
     added.log = servers_[primary_].log;
@@ -157,7 +171,7 @@
 void ReplicationSimulation::sendHeartbeat(std::size_t index)
 {
     const Server &server = servers_[index];
-    if (!server.isUp || !server.reachesControl || !isLeading_ || now_ < server.heartbeatsFrom) {
+    if (!server.isUp || !reachesControl(server) || !isLeading_ || now_ < server.heartbeatsFrom) {
         return;
     }
     BackendHeartbeat heartbeat;
@@ -172,6 +186,10 @@
 {
     losesProbes_ = false;
     answersLate_ = false;
+    cutZone_.reset();
+    for (ReplicationEntry &entry : entries_) {
+        entry.reachesControl = true;
+    }
     for (Server &server : servers_) {
         server.isUp = true;
         server.reachesControl = true;
@@ -185,6 +203,10 @@
     const std::size_t index
         = holdsOneIn(3) ? primary_ : static_cast<std::size_t>(draw(static_cast<int>(servers_.size())));
     Server &server = servers_[index];
+    if (hasEntries() && holdsOneIn(4)) {
+        drawEntryFault(lasting);
+        return;
+    }
     const int kind = draw(9);
     const bool isSpared = index == primary_ || server.hasSteppedDown;
     const bool sparesPrimary = faults_ == ReplicationFaults::ReplicasThatForget;
@@ -251,6 +273,11 @@
     });
 }
 
+bool ReplicationSimulation::reachesControl(const Server &server) const
+{
+    return server.reachesControl && canReach(server.zone, ControlZone);
+}
+
 void ReplicationSimulation::performActions()
 {
     for (std::vector<SupervisionAction> actions = supervisor_.takeActions(); !actions.empty();
@@ -275,6 +302,8 @@
         schedule(std::chrono::milliseconds(1 + draw(5)), [this, request = *probe]() { respondToProbe(request); });
     } else if (const auto *promotion = std::get_if<PromoteThroughPlatform>(&action); promotion != nullptr) {
         schedule(2ms, [this, call = *promotion]() { callPlatform(call); });
+    } else if (const auto *update = std::get_if<SendEntryUpdate>(&action); update != nullptr) {
+        sendUpdate(*update);
     }
 }
 
@@ -283,16 +312,16 @@
     Server &server = *find(probe.backend.id);
     ProbeOutcome outcome;
     outcome.probeId = probe.probeId;
-    const bool isLost = !server.reachesControl || (losesProbes_ && holdsOneIn(3));
+    const bool isLost = !reachesControl(server) || (losesProbes_ && holdsOneIn(3));
     const bool leads = &server == &servers_[primary_];
-    if (leads && server.isUp && server.reachesControl && probe.kind == ProbeKind::StepDown
+    if (leads && server.isUp && reachesControl(server) && probe.kind == ProbeKind::StepDown
         && probe.pauseTerm > server.term) {
         server.hasSteppedDown = true;
     }
     const bool isPrimary = leads && !server.hasSteppedDown;
     if (!server.isUp) {
         outcome.result = ProbeResult::Refused;
-    } else if (server.reachesControl) {
+    } else if (reachesControl(server)) {
         if (probe.kind == ProbeKind::Pause && probe.pauseTerm > server.term && !leads) {
             server.pauseTerm = std::max(server.pauseTerm, probe.pauseTerm);
         } else if (probe.kind == ProbeKind::Resume) {
--- a/unittests/supervision/replicationsimulation.h
+++ b/unittests/supervision/replicationsimulation.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "daisyrelay/supervision.h"
+#include "replicationentry.h"
 
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 
 namespace daisyrelay {
 
@@ -16,7 +18,10 @@
     ReplicasThatForget, ///< As AnyServerForgets, but the primary runs and can be reached until it is replaced, and the
                         ///< platform answers in time.
     AnyServerForgets, ///< A server that restarts receives from the primary at once, and a primary that has stepped down
-                      ///< leads again, even if a promotion is under way. New servers start at any time.
+                      ///< leads again, even if a promotion is under way. New servers start at any time. Entries
+                      ///< write, so that a commit counts as acknowledged once an entry has acknowledged it; they are
+                      ///< suspended and cut off from control.
+    AnyServerOrZone, ///< As AnyServerForgets. Besides, a zone is cut off with its servers and its entry.
 };
 
 class ReplicationSimulation
@@ -28,6 +33,7 @@
     /// Runs for \p duration with faults drawn from the seed, then for a time without.
     void run(Duration duration);
 
+    bool requiresReceipts = true; ///< Whether entries obey CommitReceipts.
     std::string violation;
     std::size_t promotionCount = 0;
     std::size_t acknowledgedCommits = 0;
@@ -36,6 +42,7 @@
 private:
     struct Server {
         std::string name;
+        int zone = 0;
         std::int64_t startedAtMs = 1;
         bool isUp = true;
         bool isDraining = false;
@@ -66,8 +73,24 @@
     void callPlatform(const PromoteThroughPlatform &call);
     void promote(std::size_t index, std::uint64_t token);
     Server *find(const BackendId &backend);
+    [[nodiscard]] bool reachesControl(const Server &server) const;
+    static ServiceId backendService();
+
+    // replicationentries.cpp
+    [[nodiscard]] bool hasEntries() const;
+    [[nodiscard]] bool canReach(int one, int other) const;
+    void addEntries();
+    void deliver(ReplicationEntry &entry, Duration delay, std::function<void()> action);
+    [[nodiscard]] ReplicationEntry::ServerState stateOf(const Server &server) const;
+    void sendReports();
+    void sendUpdate(const SendEntryUpdate &message);
+    void acknowledgeToEntry(std::uint64_t commit, std::size_t position);
+    void stepEntries();
+    void requestReceipts(ReplicationEntry &entry, const Server &server);
+    void drawEntryFault(Duration lasting);
 
     static constexpr Duration StepTime = std::chrono::milliseconds(5);
+    static constexpr int ControlZone = -1;
 
     Instant now_ { std::chrono::hours(1) };
     std::mt19937_64 random_;
@@ -81,7 +104,10 @@
     Term term_ = 1;
     std::uint64_t highestToken_ = 0;
     std::vector<Term> commitTerms_ { 0 }; ///< Of each commit; numbers of commits begin at one.
-    std::vector<std::uint64_t> acknowledged_;
+    std::set<std::uint64_t> acknowledged_;
+    std::uint64_t lastReceived_ = 0; ///< Last commit that the primary has acknowledged to an entry.
+    std::deque<ReplicationEntry> entries_;
+    std::optional<int> cutZone_;
     std::uint64_t index_ = 0;
     Term leaderTerm_ = 1;
     bool isLeading_ = true;
