supervision: supersede a promotion in doubt before replicas receive

Cause: a call without a response was taken for void after 10 s, and the next leader let the paused replicas receive.

Change: where the platform fences and commits wait for a replica, a leader repeats survey and call with a higher token before any replica receives. A call that is accepted settles earlier ones. A decision that was not called is recorded as settled, so that the next leader does not replace a healthy primary.

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -73,6 +73,8 @@
 
     void findPrimary(Instant now, const MonitorContext &context);
     void monitor(Instant now, const MonitorContext &context);
+    /// Records that no promotion is in doubt any more.
+    void settlePromotion(Instant now, const MonitorContext &context, const PrimaryRecord &primary);
     void startFailover(Instant now, const MonitorContext &context, std::string_view reason);
     /// Withdraws the service from the entries and makes the primary step down.
     void withdraw(Instant now, const MonitorContext &context);
@@ -109,6 +111,9 @@
     void retryAfter(Instant now, Duration delay, const MonitorContext &context);
     /// Returns the server that a promotion without a known outcome may still make the primary.
     [[nodiscard]] std::optional<BackendId> candidateInDoubt(Instant now, const MonitorContext &context) const;
+    /// Tells whether a promotion without a known outcome may still take the role from the recorded primary, and a call
+    /// with a higher token would prevent it. Replicas that its survey has paused must not receive until then.
+    [[nodiscard]] bool mustSupersede(Instant now, const MonitorContext &context) const;
     void enterStage(Instant now, Stage stage);
     void probe(const MonitorContext &context, const BackendRecord &backend, ProbeKind kind, Duration timeout);
     void proposePrimary(Instant now, const MonitorContext &context, const BackendId &backend, std::string_view reason);
--- a/include/daisyrelay/supervision/supervisiontiming.h
+++ b/include/daisyrelay/supervision/supervisiontiming.h
@@ -50,8 +50,9 @@
     Duration coordinatorLease = std::chrono::milliseconds(1500);
     /// A lowered rate limit is in force at all coordinators within this time of its acknowledgment.
     Duration limitApplyTime = std::chrono::milliseconds(4000);
-    /// A promotion without a response has been carried out by then, or never will be.
-    Duration maxPromotionDelay = std::chrono::seconds(10);
+    /// A promotion without a response has taken effect by then, or never will. The platform carries a call out up to
+    /// twelve seconds later, and the effect follows within a second.
+    Duration maxPromotionDelay = std::chrono::seconds(13);
     /// How long to wait after a start until exactly one server claims the primary role.
     Duration adoptionTimeout = std::chrono::milliseconds(3000);
     /// A server silent for longer than this has missed three or more heartbeats and is not promoted.
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -100,7 +100,7 @@
 void PrimaryMonitor::retryAfter(Instant now, Duration delay, const MonitorContext &context)
 {
     retryAt_ = now + delay;
-    if (!candidateInDoubt(now, context)) {
+    if (!candidateInDoubt(now, context) && !mustSupersede(now, context)) {
         context.leases.restore(service_);
     }
     // A confirmation of the primary during the delay cancels an unnecessary replacement.
@@ -191,10 +191,12 @@
         }
         return;
     }
-    context.leases.restore(service_); // The server in doubt may have left.
-    if (!inDoubt && context.leases.policy() == FencingPolicy::Leases
-        && context.state.pendingPromotionOf(service_) != nullptr) {
-        proposePrimary(now, context, primary->backend, "settled");
+    if (!mustSupersede(now, context)) {
+        context.leases.restore(service_); // The server in doubt may have left.
+        settlePromotion(now, context, *primary);
+    } else if (now >= retryAt_) {
+        startFailover(now, context, "in-doubt");
+        return;
     }
     const BackendRecord *backend = context.state.find(primary->backend);
     // Without a response to the last probe, or if an entry cannot reach it either, the primary is probed more often.
@@ -239,6 +241,17 @@
     startFailover(now, context, failure);
 }
 
+// Without this, the next leader would take a promotion that can't be carried out any more for one in doubt.
+void PrimaryMonitor::settlePromotion(Instant now, const MonitorContext &context, const PrimaryRecord &primary)
+{
+    const bool isSettled = context.leases.policy() == FencingPolicy::Leases
+        ? !candidateInDoubt(now, context)
+        : mustPauseReplication(context) && now >= inDoubtUntil_.value_or(now);
+    if (isSettled && context.state.pendingPromotionOf(service_) != nullptr) {
+        proposePrimary(now, context, primary.backend, "settled");
+    }
+}
+
 void PrimaryMonitor::startFailover(Instant now, const MonitorContext &context, std::string_view reason)
 {
     const PrimaryRecord *primary = context.state.primaryOf(service_);
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -65,6 +65,15 @@
     return isCallInFlight_ || now < inDoubtUntil_.value_or(Instant {}) ? std::optional(pending->backend) : std::nullopt;
 }
 
+bool PrimaryMonitor::mustSupersede(Instant now, const MonitorContext &context) const
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const PrimaryRecord *pending = context.state.pendingPromotionOf(service_);
+    return context.leases.policy() == FencingPolicy::Platform && mustPauseReplication(context) && pending != nullptr
+        && (primary == nullptr || primary->backend != pending->backend)
+        && context.state.find(pending->backend) != nullptr && now < inDoubtUntil_.value_or(now);
+}
+
 void PrimaryMonitor::proposePromotion(Instant now, const MonitorContext &context)
 {
     enterStage(now, Stage::Proposing);
@@ -109,6 +118,9 @@
             { "took_ms", now - enteredAt_ } });
     switch (outcome) {
     case PromotionOutcome::Accepted:
+        if (context.leases.policy() == FencingPolicy::Platform) {
+            inDoubtUntil_ = Instant {}; // The platform rejects earlier calls from now on.
+        }
         enterStage(now, Stage::AwaitingRole);
         break;
     case PromotionOutcome::Unknown:
--- a/unittests/forgottenpause/forgottenpausetest.cpp
+++ b/unittests/forgottenpause/forgottenpausetest.cpp
@@ -1,4 +1,4 @@
-// Servers that forget a pause when they restart, servers that control does not know yet, and cut zones.
+// Servers that forget a pause when they restart, servers that control does not know yet, cut zones and late calls.
 #include "replicationsimulation.h"
 
 #include <CppUTest/TestHarness.h>
@@ -21,7 +21,7 @@
 }
 
 // Guards against a promotion that loses the commits of a cut zone, which a server has received that control does not
-// know.
+// know, and against calls that the platform carries out late.
 TEST(ForgottenPause, PromotedServerHoldsEveryCommitOfACutZone)
 {
     std::size_t promotions = 0;
--- a/unittests/supervision/replicationsimulation.cpp
+++ b/unittests/supervision/replicationsimulation.cpp
@@ -361,7 +361,8 @@
         delay = call.timeout;
         // Some are never carried out.
         if (!holdsOneIn(3)) {
-            schedule(std::chrono::milliseconds(draw(5000)), [this, index, token = call.fencingToken]() {
+            const int maxDelayMs = faults_ == ReplicationFaults::AnyServerOrZone ? 12000 : 5000;
+            schedule(std::chrono::milliseconds(draw(maxDelayMs)), [this, index, token = call.fencingToken]() {
                 highestToken_ = std::max(highestToken_, token);
                 promote(index, token);
             });
--- a/unittests/supervision/replicationsimulation.h
+++ b/unittests/supervision/replicationsimulation.h
@@ -21,7 +21,8 @@
                       ///< leads again, even if a promotion is under way. New servers start at any time. Entries
                       ///< write, so that a commit counts as acknowledged once an entry has acknowledged it; they are
                       ///< suspended and cut off from control.
-    AnyServerOrZone, ///< As AnyServerForgets. Besides, a zone is cut off with its servers and its entry.
+    AnyServerOrZone, ///< As AnyServerForgets. Besides, a zone is cut off with its servers and its entry, and calls of
+                     ///< the platform are carried out up to twelve seconds late.
 };
 
 class ReplicationSimulation
