supervision: pause replicas above every term that is known

A survey began anew without end, within one tick, if only a late probe (of a primary that may have restarted) had told of a higher term: the survey counts as outdated while that term is not below the one of its pauses, and their term was taken from the probes of surveys alone. The leader then stands still.

No run of real processes has shown it.

--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -79,7 +79,7 @@
 void PrimaryMonitor::startSurvey(Instant now, const MonitorContext &context)
 {
     enterStage(now, Stage::Surveying);
-    pauseTerm_ = highestTerm_ + 1;
+    pauseTerm_ = std::max(highestTerm_, highestOwnTerm_) + 1;
     resumes_.clear();
     latePauses_.clear();
     askReplicas(now, context, mustPauseReplication(context) ? ProbeKind::Pause : ProbeKind::Status);
