supervision: do not promote a log that has diverged

Cause: a former primary came back, crashed its successor before it had joined the new term, and the survey ranked it by the end of its log, which held commits that the promotion of the successor had rolled back.

Change: control asks a new primary for its position before it records it. A server whose log ends in an earlier term beyond that position ranks behind the others, and waits for the recorded primary if no other server is left, until that one's record is removed.

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -125,6 +125,14 @@
     [[nodiscard]] std::vector<const BackendRecord *> replicas(
         Instant now, const MonitorContext &context, const BackendId &primary) const;
     [[nodiscard]] bool mustPauseReplication(const MonitorContext &context) const;
+    /// Asks a new primary for the position at which it leads.
+    void measureLead(Instant now, const MonitorContext &context, const BackendId &primary);
+    void onLeadMeasured(const ProbeOutcome &outcome);
+    /// Tells whether a log that ends at \p received holds commits which the promotion of the recorded primary has
+    /// rolled back.
+    [[nodiscard]] bool hasDiverged(const LogPoint &received, const MonitorContext &context) const;
+    /// Tells whether the survey must be repeated because \p best has diverged and the primary may return.
+    bool awaitsPrimary(Instant now, const BackendRecord &best, const MonitorContext &context);
 
     ServiceId service_;
     SupervisionTiming timing_;
@@ -163,6 +171,12 @@
     std::map<std::uint64_t, BackendId> latePauses_; ///< Pauses of servers that have started late, without an outcome.
     std::uint64_t lateStepDown_ = 0; ///< Last probe that tells a primary which may have restarted to step down.
     Instant lateStepDownAt_ {};
+    BackendId leader_; ///< The primary that leadPoint_ belongs to; empty until it has responded.
+    BackendId measured_; ///< Server that leadProbe_ was sent to.
+    LogPoint leadPoint_; ///< Term of the primary, and its position when it was first asked as such.
+    std::uint64_t leadProbe_ = 0; ///< Last probe that asks for leadPoint_.
+    Instant leadAskedAt_ {};
+    bool awaitsPrimary_ = false; ///< Whether the last survey found only logs that have diverged.
     bool isCallInFlight_ = false; ///< The last promotion has no outcome yet, or has been accepted.
     /// Earlier promotions without an outcome may be carried out until then. No value before the first tick.
     std::optional<Instant> inDoubtUntil_;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -207,6 +207,9 @@
         probedAt_ = now;
         probe(context, *backend, ProbeKind::Role, timing_.probeTimeout);
     }
+    if (leader_ != primary->backend && now - leadAskedAt_ >= timing_.probeTimeout) {
+        measureLead(now, context, primary->backend);
+    }
     const std::string_view failure = failureReason(now, context, *primary);
     if (failure.empty() && !isSuspect) {
         // Draining servers and reports of entries must be noticed between two probes, too.
@@ -312,6 +315,10 @@
         return true;
     }
     highestOwnTerm_ = std::max(highestOwnTerm_, outcome.ownTerm);
+    if (outcome.probeId == leadProbe_) {
+        onLeadMeasured(outcome);
+        return true;
+    }
     if (onLateProbe(now, outcome, context)) {
         return true;
     }
@@ -339,6 +346,9 @@
         return true;
     }
     if (stage_ == Stage::AwaitingRole && backend == candidate_ && hasTakenRole(now, outcome)) {
+        if (measured_ != backend || leadProbe_ == 0) {
+            measureLead(now, context, backend); // Entries write to it only once it is recorded.
+        }
         proposePrimary(now, context, backend, "promoted");
         return true;
     }
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -251,6 +251,57 @@
     return true;
 }
 
+// The position right after a promotion tells which commits of earlier terms the promotion has rolled back.
+void PrimaryMonitor::measureLead(Instant now, const MonitorContext &context, const BackendId &primary)
+{
+    if (const BackendRecord *backend = context.state.find(primary); backend != nullptr) {
+        leader_ = {};
+        leadAskedAt_ = now;
+        measured_ = primary;
+        leadProbe_ = context.nextId();
+        context.emit(ProbeBackend { leadProbe_, *backend, ProbeKind::Status, 0, timing_.probeTimeout });
+    }
+}
+
+void PrimaryMonitor::onLeadMeasured(const ProbeOutcome &outcome)
+{
+    leadProbe_ = 0;
+    if (outcome.result == ProbeResult::Responded && outcome.claimsPrimary) {
+        leader_ = measured_;
+        // Until it commits, the end of its log belongs to an earlier term.
+        leadPoint_ = { outcome.ownTerm, outcome.received.position };
+    } else if (outcome.result != ProbeResult::NoResponse) {
+        leadAskedAt_ = {}; // Busy: asks again.
+    }
+}
+
+// A former primary that has not joined the term of its successor still has the commits that it took after the position
+// at which the successor was promoted.
+bool PrimaryMonitor::hasDiverged(const LogPoint &received, const MonitorContext &context) const
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    return primary != nullptr && primary->backend == leader_ && received.term < leadPoint_.term
+        && received.position > leadPoint_.position;
+}
+
+// If a log that has diverged led, commits would be in force that callers of the term between have not seen.
+bool PrimaryMonitor::awaitsPrimary(Instant now, const BackendRecord &best, const MonitorContext &context)
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const bool mustWait = primary != nullptr && context.state.find(primary->backend) != nullptr
+        && hasDiverged(surveyOutcomes_.at(best.id).received, context);
+    if (mustWait && !awaitsPrimary_) {
+        context.metrics.add("failovers_without_lineage_total");
+        context.log.log(now, "failover.awaits-primary",
+            { { "service", std::string_view(service_.value) }, { "primary", std::string_view(primary->backend.value) },
+                { "diverged", std::string_view(best.id.value) },
+                { "position", surveyOutcomes_.at(best.id).received.position },
+                { "lead_position", leadPoint_.position } });
+    }
+    awaitsPrimary_ = mustWait;
+    return mustWait;
+}
+
 void PrimaryMonitor::finishSurvey(Instant now, const MonitorContext &context)
 {
     if (!probes_.empty() && now - enteredAt_ < 2 * timing_.surveyTimeout) {
@@ -272,7 +323,8 @@
         // A call of a former leader may be carried out between the survey and the effect of another promotion.
         const bool isPending = pending != nullptr && pending->backend == backend.id;
         const bool canTakeRole = !mayHoldSoleCopy || backend.id != ineffective_;
-        return std::tuple(mayHoldSoleCopy ? received : LogPoint {}, canTakeRole, isPending, stays, received);
+        return std::tuple(mayHoldSoleCopy ? received : LogPoint {}, !hasDiverged(received, context), canTakeRole,
+            isPending, stays, received);
     };
     for (const auto &[id, outcome] : surveyOutcomes_) {
         const BackendRecord *backend = context.state.find(id);
@@ -293,6 +345,11 @@
         retryAfter(now, timing_.promotionRetryDelay, context);
         return;
     }
+    if (!candidateInDoubt(now, context) && awaitsPrimary(now, *best, context)) {
+        resumeUnlessInDoubt(now, context);
+        retryAfter(now, timing_.promotionRetryDelay, context);
+        return;
+    }
     if (!candidateInDoubt(now, context) && awaitsUnknownServer(now, surveyOutcomes_.at(best->id).received, context)) {
         return;
     }
--- a/unittests/supervision/supervisorfixture.h
+++ b/unittests/supervision/supervisorfixture.h
@@ -29,6 +29,7 @@
     std::set<std::string> late; ///< Servers whose probes the test answers itself.
     std::set<std::string> steppedDown; ///< Primaries that follow nobody yet.
     std::map<std::string, LogPoint> positions;
+    std::map<std::string, Term> ownTerms; ///< Of servers whose log ends in an earlier term than theirs.
     std::vector<ProbeKind> probeKinds;
     std::vector<ProbeBackend> probes;
     std::string primaryName = "b0";
@@ -96,7 +97,7 @@
             outcome.result = ProbeResult::Responded;
             outcome.received = positions[name];
             outcome.term = positions[name].term;
-            outcome.ownTerm = positions[name].term;
+            outcome.ownTerm = ownTerms.contains(name) ? ownTerms[name] : positions[name].term;
             outcome.claimsPrimary = leads(name);
         }
         supervisor.onProbe(now, outcome);
