proxy: require receipts wherever an entry has connections to a replica

One home anywhere in the deployment switched receipts off for all services of an entry, also for those whose replicas the entry reaches directly (by reading, before any landing). Receipts are left out now only where homes are in use and the entry has no connection to any replica of the service. A primary that answers the question for its position as a replica is asked again in the usual interval, and not with each tick. test_proxy and test_supervision pass (226 tests).

--- a/lib/proxy/receipts.cpp
+++ b/lib/proxy/receipts.cpp
@@ -5,13 +5,17 @@
 
 namespace daisyrelay {
 
-// Where a few homes hold all connections, an entry may have none to any replica.
+// Where a few homes hold the connections to a server, an entry may have none to any replica. Its commits are
+// acknowledged without a receipt, since the service would be unavailable otherwise.
 bool ProxyCore::needsReceipt(const Service &service) const
 {
-    return service.syncReplicas > 0 && homes_.empty();
+    return service.syncReplicas > 0
+        && (homes_.empty() || std::any_of(service.backends.begin(), service.backends.end(), [&](const BackendId &id) {
+               return id != service.primary.backend && pools_.at(id).quota() > 0;
+           }));
 }
 
-// A draining replica passes its log on when it ends, after which no survey asks it.
+// Returns the replicas that are asked. A draining one passes its log on when it ends, after which no survey asks it.
 std::vector<BackendPool *> ProxyCore::receiptPools(const Service &service)
 {
     std::vector<BackendPool *> staying;
@@ -51,7 +55,7 @@
     });
 }
 
-// A write without a receipt would end in doubt.
+// Without a replica that can confirm it, a write would end in doubt.
 std::optional<ProxyCore::Placement> ProxyCore::waitForReplicas(Instant now, Session &session, const Service &service)
 {
     const PendingStatement &pending = *session.pending;
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -270,8 +270,6 @@
         leader_ = measured_;
         // Until it commits, the end of its log belongs to an earlier term.
         leadPoint_ = { outcome.ownTerm, outcome.received.position };
-    } else if (outcome.result != ProbeResult::NoResponse) {
-        leadAskedAt_ = {}; // Busy: asks again.
     }
 }
 
