supervision: do not await a primary that has stepped down

While only diverged logs are left, a failover waited for the recorded primary until its record is removed. PrimaryThatHasSteppedDownIsNotAwaited.

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -176,7 +176,7 @@
     LogPoint leadPoint_; ///< Term of the primary, and its position when it was first asked as such.
     std::uint64_t leadProbe_ = 0; ///< Last probe that asks for leadPoint_.
     Instant leadAskedAt_ {};
-    bool awaitsPrimary_ = false; ///< Whether the last survey found only logs that have diverged.
+    std::optional<Instant> awaitsPrimarySince_; ///< Since when surveys find only logs that have diverged.
     bool isCallInFlight_ = false; ///< The last promotion has no outcome yet, or has been accepted.
     /// Earlier promotions without an outcome may be carried out until then. No value before the first tick.
     std::optional<Instant> inDoubtUntil_;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -215,6 +215,9 @@
         // Draining servers and reports of entries must be noticed between two probes, too.
         nextTickAt_ = now + std::min(timing_.maxMonitorPause, context.probeInterval / 8);
     }
+    if (failure.empty()) {
+        awaitsPrimarySince_.reset();
+    }
     if (failure.empty() && !paused_.empty() && now - resumedAt_ >= timing_.probeTimeout) {
         resumeUnlessInDoubt(now, context);
     }
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -286,9 +286,15 @@
 bool PrimaryMonitor::awaitsPrimary(Instant now, const BackendRecord &best, const MonitorContext &context)
 {
     const PrimaryRecord *primary = context.state.primaryOf(service_);
-    const bool mustWait = primary != nullptr && context.state.find(primary->backend) != nullptr
-        && hasDiverged(surveyOutcomes_.at(best.id).received, context);
-    if (mustWait && !awaitsPrimary_) {
+    // A primary that has stepped down, or follows another server, does not lead again by itself.
+    const bool mayReturn = primary != nullptr && context.state.find(primary->backend) != nullptr && !hasSteppedDown_
+        && lastProbeResult_ != ProbeResult::IsReplica;
+    if (!mayReturn || !hasDiverged(surveyOutcomes_.at(best.id).received, context)) {
+        awaitsPrimarySince_.reset();
+        return false;
+    }
+    if (!awaitsPrimarySince_) {
+        awaitsPrimarySince_ = now;
         context.metrics.add("failovers_without_lineage_total");
         context.log.log(now, "failover.awaits-primary",
             { { "service", std::string_view(service_.value) }, { "primary", std::string_view(primary->backend.value) },
@@ -296,8 +302,7 @@
                 { "position", surveyOutcomes_.at(best.id).received.position },
                 { "lead_position", leadPoint_.position } });
     }
-    awaitsPrimary_ = mustWait;
-    return mustWait;
+    return now - *awaitsPrimarySince_ < timing_.backendExpiry;
 }
 
 void PrimaryMonitor::finishSurvey(Instant now, const MonitorContext &context)
--- a/unittests/supervision/divergedlogtest.cpp
+++ b/unittests/supervision/divergedlogtest.cpp
@@ -101,6 +101,16 @@
     CHECK_EQUAL(std::string("b0"), promotions.back().backend.value);
 }
 
+// A primary that has stepped down does not take the role back, so that waiting for it would never end.
+TEST(DivergedLog, PrimaryThatHasSteppedDownIsNotAwaited)
+{
+    replacePrimary(1);
+    sendHeartbeat("b1", 2, 1, true);
+    keepAlive({ "b0", "b2" }, 6s);
+    CHECK(steppedDown.contains("b1"));
+    CHECK_EQUAL(2U, promotions.size());
+}
+
 // A server that is behind may lack acknowledged commits that only the former primary holds besides the current one.
 TEST(DivergedLog, PrimaryIsAwaitedWhereCommitsWaitForAReplica)
 {
