--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -128,6 +128,8 @@
     /// Asks a new primary for the position at which it leads.
     void measureLead(Instant now, const MonitorContext &context, const BackendId &primary);
     void onLeadMeasured(const ProbeOutcome &outcome);
+    /// Tells whether the primary owes its position. A server gets one probe at a time; another one would end it.
+    [[nodiscard]] bool isMeasuringLead(Instant now) const;
     /// Tells whether a log that ends at \p received holds commits which the promotion of the recorded primary has
     /// rolled back.
     [[nodiscard]] bool hasDiverged(const LogPoint &received, const MonitorContext &context) const;
--- a/lib/supervision/primarymonitor.cpp
+++ b/lib/supervision/primarymonitor.cpp
@@ -203,11 +203,10 @@
     const bool isSuspect = lastProbeResult_ != ProbeResult::IsPrimary
         || context.entries.isReportedUnreachable(service_, primary->backend);
     const Duration interval = isSuspect ? timing_.probeInterval : context.probeInterval;
-    if (backend != nullptr && probes_.empty() && now - probedAt_ >= interval) {
+    if (backend != nullptr && probes_.empty() && !isMeasuringLead(now) && now - probedAt_ >= interval) {
         probedAt_ = now;
         probe(context, *backend, ProbeKind::Role, timing_.probeTimeout);
-    }
-    if (leader_ != primary->backend && now - leadAskedAt_ >= timing_.probeTimeout) {
+    } else if (leader_ != primary->backend && probes_.empty() && now - leadAskedAt_ >= timing_.probeTimeout) {
         measureLead(now, context, primary->backend);
     }
     const std::string_view failure = failureReason(now, context, *primary);
--- a/lib/supervision/primarypromotion.cpp
+++ b/lib/supervision/primarypromotion.cpp
@@ -167,7 +167,7 @@
         retryAfter(now, Duration::zero(), context);
         return;
     }
-    if (probes_.empty() && now - probedAt_ >= timing_.promotedProbeInterval) {
+    if (probes_.empty() && !isMeasuringLead(now) && now - probedAt_ >= timing_.promotedProbeInterval) {
         probedAt_ = now;
         const bool isFenced = context.leases.policy() == FencingPolicy::Platform;
         probe(context, *backend, isFenced ? ProbeKind::Role : ProbeKind::Status, timing_.probeTimeout);
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -263,6 +263,11 @@
     }
 }
 
+bool PrimaryMonitor::isMeasuringLead(Instant now) const
+{
+    return leadProbe_ != 0 && now - leadAskedAt_ < timing_.probeTimeout;
+}
+
 void PrimaryMonitor::onLeadMeasured(const ProbeOutcome &outcome)
 {
     leadProbe_ = 0;
--- a/unittests/supervision/divergedlogtest.cpp
+++ b/unittests/supervision/divergedlogtest.cpp
@@ -101,6 +101,22 @@
     CHECK_EQUAL(std::string("b0"), promotions.back().backend.value);
 }
 
+// A server gets one probe at a time. A second one ended the first without a response, as if the primary were silent.
+TEST(DivergedLog, NewLeaderSendsAPrimaryOneProbeAtATime)
+{
+    replacePrimary();
+    late = { "b1" };
+    probes.clear();
+    supervisor.onLeadership(now, false, 1, {});
+    supervisor.onLeadership(now, true, 1, { VmId { "c" } });
+    advance(90ms);
+    std::size_t count = 0;
+    for (const ProbeBackend &probe : probes) {
+        count += probe.backend.id.value == "b1" ? 1 : 0;
+    }
+    CHECK_EQUAL(1U, count);
+}
+
 // A primary that has stepped down does not take the role back, so that waiting for it would never end.
 TEST(DivergedLog, PrimaryThatHasSteppedDownIsNotAwaited)
 {
