--- a/unittests/supervision/replicationentries.cpp
+++ b/unittests/supervision/replicationentries.cpp
@@ -18,6 +18,11 @@
     return one == other || !cutZone_ || (one != *cutZone_ && other != *cutZone_);
 }
 
+bool ReplicationSimulation::reachesControl(const Server &server) const
+{
+    return server.reachesControl && canReach(server.zone, ControlZone);
+}
+
 void ReplicationSimulation::addEntries()
 {
     for (int zone = 0; hasEntries() && zone < Zones; ++zone) {
--- a/unittests/supervision/replicationsimulation.cpp
+++ b/unittests/supervision/replicationsimulation.cpp
@@ -273,11 +273,6 @@
     });
 }
 
-bool ReplicationSimulation::reachesControl(const Server &server) const
-{
-    return server.reachesControl && canReach(server.zone, ControlZone);
-}
-
 void ReplicationSimulation::performActions()
 {
     for (std::vector<SupervisionAction> actions = supervisor_.takeActions(); !actions.empty();
--- a/unittests/supervision/replicationsimulation.h
+++ b/unittests/supervision/replicationsimulation.h
@@ -74,12 +74,12 @@
     void callPlatform(const PromoteThroughPlatform &call);
     void promote(std::size_t index, std::uint64_t token);
     Server *find(const BackendId &backend);
-    [[nodiscard]] bool reachesControl(const Server &server) const;
     static ServiceId backendService();
 
     // replicationentries.cpp
     [[nodiscard]] bool hasEntries() const;
     [[nodiscard]] bool canReach(int one, int other) const;
+    [[nodiscard]] bool reachesControl(const Server &server) const;
     void addEntries();
     void deliver(ReplicationEntry &entry, Duration delay, std::function<void()> action);
     [[nodiscard]] ReplicationEntry::ServerState stateOf(const Server &server) const;
