--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
 #include <iomanip>
 #include <random>
 #include <sstream>
@@ -285,8 +286,18 @@
             database->beats.join();
         }
     }
-    for (std::thread &thread : threads_) {
-        thread.join();
+    for (;;) {
+        std::vector<std::thread> threads;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            threads.swap(threads_);
+        }
+        if (threads.empty()) {
+            break;
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
     }
     sleepFor(Millis(100)); // Threads of connections end.
 }
@@ -328,7 +339,7 @@
     }
     database.beats = std::thread([this, &database]() {
         while (!isStopping_) {
-            if (database.isUp && database.isBeating) {
+            if (database.isUp && database.isBeating && !database.isDark) {
                 beat(database);
             }
             for (int step = 0; step < 24 && !isStopping_; ++step) {
@@ -441,9 +452,9 @@
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             const auto until = Clock::now() - options_.receiveDelay;
-            if (primary_ != nullptr && primary_->isUp) {
+            if (primary_ != nullptr && primary_->isUp && !primary_->isDark) {
                 for (const std::unique_ptr<Database> &database : databases_) {
-                    if (database.get() == primary_ || !database->isUp || database->isDeaf
+                    if (database.get() == primary_ || !database->isUp || database->isDeaf || database->isDark
                         || database->pausedTerm != 0) {
                         continue;
                     }
@@ -463,6 +474,20 @@
 int Service::promote(const std::string &id, std::uint64_t token, const std::string &holder)
 {
     ++calls;
+    if (const int late = lateMs; late > 0) {
+        record_.line("POST /promote " + id + " token " + std::to_string(token) + " gets no answer");
+        const std::lock_guard<std::mutex> lock(mutex_);
+        threads_.emplace_back([this, id, token, holder, late]() {
+            sleepFor(Millis(late));
+            carryOut(id, token, holder);
+        });
+        return 0;
+    }
+    return carryOut(id, token, holder);
+}
+
+int Service::carryOut(const std::string &id, std::uint64_t token, const std::string &holder)
+{
     const std::lock_guard<std::mutex> lock(mutex_);
     record_.line("POST /promote " + id + " token " + std::to_string(token) + " from " + holder);
     Database *database = find(id);
@@ -555,6 +580,12 @@
         if (*line == "BYE" || line->rfind("QUERY ", 0) != 0) {
             return;
         }
+        while (database.isDark && database.isUp && !isStopping_) {
+            sleepFor(Millis(5));
+        }
+        if (!database.isUp) {
+            return;
+        }
         std::string rest = line->substr(6);
         const std::size_t blank = rest.find(' ');
         const std::string id = rest.substr(0, blank);
@@ -687,6 +718,16 @@
         if (verb == "COMMIT") {
             session.state = 'I';
         }
+        if (verb == "FETCH" && argument.rfind("large", 0) == 0) {
+            std::string bytes;
+            for (int row = 0; row < options_.largeRows; ++row) {
+                bytes += "ROW " + std::string(options_.largeRowBytes, 'a' + static_cast<char>(row % 26)) + "\r\n";
+            }
+            bytes += "DONE " + mac + "\r\n" + ready(session);
+            lock.unlock();
+            link->send(bytes);
+            continue;
+        }
         succeed(isWrite || verb == "COMMIT" ? "" : "v" + mac, mac);
     }
 }
@@ -718,6 +759,9 @@
             const std::size_t at = body.find("\"Id\":\"");
             const std::string id = at == std::string::npos ? "" : body.substr(at + 6, body.find('"', at + 6) - at - 6);
             const int status = service.promote(id, token, holder);
+            if (status == 0) {
+                continue; // The connection stays open without an answer.
+            }
             link->send("HTTP/1.1 " + std::to_string(status)
                 + (status == 200 ? " OK" : " Conflict")
                 + "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}");
@@ -848,6 +892,14 @@
     }
 }
 
+void System::wipe(const Node &node)
+{
+    for (const auto &file : std::filesystem::directory_iterator(folder_ + '/' + node.name)) {
+        std::filesystem::remove_all(file);
+    }
+    record_.line("the disk of " + node.name + " is lost");
+}
+
 std::vector<std::string> System::unexpectedEnds()
 {
     std::vector<std::string> ends;
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -111,6 +111,7 @@
     bool isDraining = false;
     bool isBeating = true; ///< Sends check-ins.
     bool isDeaf = false; ///< Receives nothing from the primary.
+    std::atomic<bool> isDark { false }; ///< Does not respond.
     std::uint64_t pausedTerm = 0;
     std::uint64_t term = 1;
     std::vector<Commit> log; ///< What it has received.
@@ -132,6 +133,8 @@
         Millis workTime { 3 };
         Millis receiveDelay { 2 };
         Millis promoteTime { 600 };
+        int largeRows = 0; ///< Rows of the answer to a FETCH of an item that begins with "large".
+        std::size_t largeRowBytes = 1000000; ///< A message is at most 1 MiB.
     };
     Service(Record &record, Options options, std::vector<std::string> controlHosts, int controlPort);
     ~Service();
@@ -146,6 +149,10 @@
     int promote(const std::string &id, std::uint64_t token, const std::string &holder);
     Database *find(const std::string &id);
     Database &primary();
+    Database *primaryIfAny()
+    {
+        return primary_;
+    }
     void setDeaf(Database &database, bool isDeaf);
     void setDraining(Database &database);
     const Options &options() const
@@ -162,10 +169,13 @@
     std::function<void(const Database &, const std::string &id, const std::string &text)> onRun;
     std::atomic<int> promotions { 0 };
     std::atomic<int> calls { 0 };
+    /// Calls of the platform get no answer and are carried out after this time, if it is above zero.
+    std::atomic<int> lateMs { 0 };
 
 private:
     void serve(Database &database, const std::shared_ptr<Link> &link);
     void replicate();
+    int carryOut(const std::string &id, std::uint64_t token, const std::string &holder);
     bool beat(Database &database);
     bool isPrimary(const Database &database) const;
     std::string position(const Database &database) const;
@@ -214,6 +224,8 @@
     bool start();
     void startNode(Node &node, bool isBootstrap);
     void kill(Node &node, int signal);
+    /// Empties the data folder of a process that has ended.
+    void wipe(const Node &node);
     /// Waits until \p count entries are ready.
     bool awaitReady(std::size_t count, Millis timeout);
     std::vector<std::string> controlHosts() const;
