--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -58,8 +58,8 @@
         for (const auto &[id, at] : acknowledged) {
             if (!kept.contains(id)) {
                 lost.push_back(id);
-                record.line("LOST " + id + ", acknowledged at " + std::to_string(at) + ", is not in the log of "
-                    + promoted.id);
+                record.line(
+                    "LOST " + id + ", acknowledged at " + std::to_string(at) + ", is not in the log of " + promoted.id);
             }
         }
         isPromoted = true;
--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -397,8 +397,8 @@
     static std::atomic<std::size_t> next { 0 };
     for (std::size_t attempt = 0; attempt < controlHosts_.size() && !isStopping_; ++attempt) {
         const std::string &host = controlHosts_[next++ % controlHosts_.size()];
-        const HttpReply reply = httpCall(
-            host, controlPort_, "POST", "/-/Instances.Heartbeat/" + database.id, body.str(), Millis(1000));
+        const HttpReply reply
+            = httpCall(host, controlPort_, "POST", "/-/Instances.Heartbeat/" + database.id, body.str(), Millis(1000));
         if (reply.status / 100 == 2) {
             return true;
         }
@@ -424,11 +424,32 @@
     return database.isUp && primary_ == &database;
 }
 
+std::size_t Service::applied(const Database &database) const
+{
+    std::size_t count = database.log.size();
+    if (isPrimary(database)) {
+        database.appliedBefore = count;
+        return count;
+    }
+    const auto until = Clock::now() - database.applyDelay;
+    database.appliedBefore = std::min(database.appliedBefore, count);
+    while (count > database.appliedBefore && database.log[count - 1].at > until) {
+        --count;
+    }
+    database.appliedBefore = count;
+    return count;
+}
+
+static std::string pointOf(const Database &database, std::size_t count)
+{
+    return count == 0
+        ? "1.0"
+        : std::to_string(database.log[count - 1].term) + '.' + std::to_string(database.log[count - 1].number);
+}
+
 std::string Service::position(const Database &database) const
 {
-    return database.log.empty() ? std::to_string(1) + ".0"
-                                : std::to_string(database.log.back().term) + '.'
-            + std::to_string(database.log.back().number);
+    return pointOf(database, database.log.size());
 }
 
 Database *Service::find(const std::string &id)
@@ -550,7 +571,7 @@
     ++database.connections;
     const Count count { database.connections };
     const auto ready = [&](const Session &session) {
-        return std::string("READY ") + session.state + ' ' + position(database) + "\r\n";
+        return std::string("READY ") + session.state + ' ' + pointOf(database, applied(database)) + "\r\n";
     };
     Session session;
     std::optional<std::string> line = link->readLine(Millis(10000));
@@ -611,7 +632,7 @@
             fail("BADMSG");
             continue;
         }
-        if (since > database.log.size()) {
+        if (since > applied(database)) {
             fail("LAGGING");
             continue;
         }
@@ -762,8 +783,7 @@
             if (status == 0) {
                 continue; // The connection stays open without an answer.
             }
-            link->send("HTTP/1.1 " + std::to_string(status)
-                + (status == 200 ? " OK" : " Conflict")
+            link->send("HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Conflict")
                 + "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}");
         }
     });
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -116,6 +116,7 @@
     std::uint64_t term = 1;
     std::vector<Commit> log; ///< What it has received.
     Millis applyDelay { 5 };
+    mutable std::size_t appliedBefore = 0; ///< What reads have seen stays applied when the delay grows.
     std::set<std::string> running; ///< Ids of statements at work.
     std::unique_ptr<Listener> listener;
     std::thread beats;
@@ -167,6 +168,10 @@
     std::function<void(const Database &)> onPromoted;
     /// Called with the lock held for each run of a statement.
     std::function<void(const Database &, const std::string &id, const std::string &text)> onRun;
+    std::size_t appliedBy(const Database &database) const
+    {
+        return applied(database);
+    }
     std::atomic<int> promotions { 0 };
     std::atomic<int> calls { 0 };
     /// Calls of the platform get no answer and are carried out after this time, if it is above zero.
@@ -179,6 +184,8 @@
     bool beat(Database &database);
     bool isPrimary(const Database &database) const;
     std::string position(const Database &database) const;
+    /// Number of commits that a read sees.
+    std::size_t applied(const Database &database) const;
 
     Record &record_;
     Options options_;
