--- a/review/11/driver.cpp
+++ b/review/11/driver.cc
@@ -1,5 +1,5 @@
 // SyncReplicas with homes: a commit is acknowledged on the receipt of a replica that control has forgotten.
-#include "../rig-3/rig.h"
+#include "../rig-3/rig.hh"
 
 #include <cstdlib>
 
--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cc
@@ -1,4 +1,4 @@
-#include "rig.h"
+#include "rig.hh"
 
 #include <algorithm>
 #include <cerrno>
@@ -30,9 +30,9 @@
 std::string newId()
 {
     static std::atomic<std::uint64_t> next { 1 };
-    static const std::uint64_t base = std::random_device {}();
+    static const std::uint64_t Base = std::random_device {}();
     std::ostringstream text;
-    text << std::hex << base << 'q' << next++;
+    text << std::hex << Base << 'q' << next++;
     return text.str();
 }
 
