--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -657,6 +657,8 @@
         if (verb == "SET" || verb == "RESET" || verb == "DEALLOC") {
             if (verb == "RESET") {
                 session.prepared.clear();
+            } else if (verb == "DEALLOC") {
+                session.prepared.erase(argument);
             }
             succeed("", "-");
             continue;
@@ -684,8 +686,17 @@
             succeed(row.str(), "-");
             continue;
         }
-        const bool isWrite = verb == "PUT"
-            || (verb == "EXEC" && session.prepared[argument.substr(0, argument.find(' '))].rfind("PUT", 0) == 0);
+        const auto prepared
+            = verb == "EXEC" ? session.prepared.find(argument.substr(0, argument.find(' '))) : session.prepared.end();
+        if (verb == "EXEC" && prepared == session.prepared.end()) {
+            if (onUnknownName) {
+                onUnknownName(database, id, text);
+            }
+            fail("NOSTMT");
+            continue;
+        }
+        const bool isWrite
+            = verb == "PUT" || (prepared != session.prepared.end() && prepared->second.rfind("PUT", 0) == 0);
         const std::string mac = database.id + '.' + std::to_string(nextMac_++);
         lock.unlock();
         sleepFor(options_.workTime);
--- a/review/rig-3/rig.hh
+++ b/review/rig-3/rig.hh
@@ -168,6 +168,8 @@
     std::function<void(const Database &)> onPromoted;
     /// Called with the lock held for each run of a statement.
     std::function<void(const Database &, const std::string &id, const std::string &text)> onRun;
+    /// Called with the lock held for an EXEC of a name that its connection does not know.
+    std::function<void(const Database &, const std::string &id, const std::string &text)> onUnknownName;
     std::size_t appliedBy(const Database &database) const
     {
         return applied(database);
