Require receipts of commits where homes hold the connections

Cause: the home of a primary mostly has no connection to the replicas of that service, whose homes are other entries. ProxyCore::needsReceipt dropped the receipt there, so that a commit rested on whatever server the primary had sent it to: here a replica that control had removed and that ran on since the response to its Leave was lost.

Change: an entry acknowledges a commit of a service with SyncReplicas on a receipt that counts, or not at all. The servers of such a service share their two homes, in different zones as far as possible. A home of the primary therefore holds connections to all replicas, also right after a promotion; no connection is added, and no message changes. A former home keeps one connection to each replica while it has commits or transactions of the primary under way. Services without SyncReplicas keep their homes, and the order in which these are chosen.

CommitReceipts.OpenTransactionCommitsAfterTheHomesHaveMoved fails if a former home keeps no connection.

--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -127,8 +127,8 @@
     /// Returns whether the server is likely to reject a read that requires \p point.
     [[nodiscard]] bool isLaggingBehind(Instant now, const LogPoint &point) const;
 
-    /// Returns the idle connections to close in order to meet the quota.
-    [[nodiscard]] std::vector<ConnectionId> connectionsAboveQuota() const;
+    /// Returns the idle connections to close in order to meet the quota. At least \p kept connections stay open.
+    [[nodiscard]] std::vector<ConnectionId> connectionsAboveQuota(std::size_t kept = 0) const;
 
     /// Returns a connection that has been idle for longer than \p timeout, if another one is idle too.
     [[nodiscard]] std::optional<ConnectionId> unneededConnection(Instant now, Duration timeout) const;
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -279,7 +279,8 @@
 
     // receipts.cpp
     /// Tells whether a commit is acknowledged to its caller only once a replica has confirmed its receipt.
-    [[nodiscard]] bool needsReceipt(const Service &service) const;
+    [[nodiscard]] static bool needsReceipt(const Service &service);
+    [[nodiscard]] std::size_t connectionsKeptForReceipts(const BackendPool &pool) const;
     [[nodiscard]] std::vector<BackendPool *> receiptPools(const Service &service);
     void confirmReplicas(const EntryUpdate &update, Instant reportSentAt);
     [[nodiscard]] bool canObtainReceipt(Instant now, const Service &service);
--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -97,7 +97,21 @@
     /// Returns whether entries still have the homes of a former leader and this one has assigned none.
     [[nodiscard]] bool isAwaitingHomes(Instant now) const;
     [[nodiscard]] bool isAvailable(Instant now, const VmId &entry) const;
-    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend,
+    /// Servers with the same homes. An entry that commits at a primary also asks its replicas for receipts, so that the
+    /// servers of a service with synchronous replicas share their homes, whichever of them becomes the primary.
+    struct HomeGroup {
+        std::vector<const BackendRecord *> backends;
+        const BackendRecord *anchor = nullptr; ///< Homes are chosen near this server.
+        bool isShared = false; ///< The homes lie in different zones, so that a lost zone leaves one of them.
+    };
+
+    /// Returns the servers whose connections are too scarce for all entries.
+    [[nodiscard]] std::vector<HomeGroup> groupsWithHomes(const SupervisionState &state) const;
+    /// Returns the homes that the servers of \p group have, or none unless all of these are available and the same for
+    /// each server that has any.
+    [[nodiscard]] std::vector<VmId> currentHomes(Instant now, const HomeGroup &group) const;
+    /// Returns up to HomesPerBackend entries; with \p spreadsZones in different zones as far as possible.
+    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend, bool spreadsZones,
         const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
         const std::map<VmId, std::size_t> &homeCounts) const;
     void replaceHomes(Instant now, std::map<BackendId, std::vector<VmId>> homes);
--- a/lib/proxy/backendpool.cpp
+++ b/lib/proxy/backendpool.cpp
@@ -251,12 +251,12 @@
     return isSpare ? std::optional(oldest->first) : std::nullopt;
 }
 
-std::vector<ConnectionId> BackendPool::connectionsAboveQuota() const
+std::vector<ConnectionId> BackendPool::connectionsAboveQuota(std::size_t kept) const
 {
     std::vector<ConnectionId> found;
     std::size_t openCount = connections_.size();
     for (const auto &[id, connection] : connections_) {
-        if (openCount > quota_ && connection.state == BackendConnection::State::Idle) {
+        if (openCount > std::max<std::size_t>(quota_, kept) && connection.state == BackendConnection::State::Idle) {
             found.push_back(id);
             --openCount;
         }
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -221,7 +221,7 @@
 
 void ProxyCore::closeConnectionsAboveQuota(Instant now, BackendPool &pool)
 {
-    for (const ConnectionId connection : pool.connectionsAboveQuota()) {
+    for (const ConnectionId connection : pool.connectionsAboveQuota(connectionsKeptForReceipts(pool))) {
         closeConnection(now, pool, connection, ConnectionLoss::Broken);
     }
 }
--- a/lib/proxy/receipts.cpp
+++ b/lib/proxy/receipts.cpp
@@ -5,14 +5,21 @@
 
 namespace daisyrelay {
 
-// Where a few homes hold the connections to a server, an entry may have none to any replica. Its commits are
-// acknowledged without a receipt, since the service would be unavailable otherwise.
-bool ProxyCore::needsReceipt(const Service &service) const
+bool ProxyCore::needsReceipt(const Service &service)
 {
-    return service.syncReplicas > 0
-        && (homes_.empty() || std::any_of(service.backends.begin(), service.backends.end(), [&](const BackendId &id) {
-               return id != service.primary.backend && pools_.at(id).quota() > 0;
-           }));
+    return service.syncReplicas > 0;
+}
+
+// An entry that may have no connections any more still asks the replicas about commits that are under way.
+std::size_t ProxyCore::connectionsKeptForReceipts(const BackendPool &pool) const
+{
+    const Service &service = services_.at(pool.record().service);
+    if (!needsReceipt(service) || pool.record().id == service.primary.backend) {
+        return 0;
+    }
+    const BackendPool *primary = findPool(service.primary.backend);
+    const bool hasCommits = !service.receipts.isEmpty() || (primary != nullptr && primary->inUseCount() > 0);
+    return hasCommits ? 1 : 0;
 }
 
 // Returns the replicas that are asked. A draining one passes its log on when it ends, after which no survey asks it.
--- a/lib/proxy/timers.cpp
+++ b/lib/proxy/timers.cpp
@@ -200,6 +200,7 @@
     for (auto at = activePools_.begin(); at != activePools_.end();) {
         BackendPool *pool = findPool(*at);
         if (pool != nullptr && !pool->connections().empty()) {
+            closeConnectionsAboveQuota(now, *pool); // Some may have been kept for receipts.
             if (const std::optional<ConnectionId> connection = pool->unneededConnection(now,
                     directory_->requiresKeys()                 ? timing_.idleWorkspaceConnectionTimeout
                         : pool->quota() <= timing_.scarceQuota ? timing_.idleScarceConnectionTimeout
--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -29,13 +29,17 @@
 
 // Prefers entries that hold connections, so that a new leader or a lost entry moves as few homes as possible, then
 // entries in the zone of the server with the fewest homes.
-std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const BackendRecord &backend,
+std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const BackendRecord &backend, bool spreadsZones,
     const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
     const std::map<VmId, std::size_t> &homeCounts) const
 {
     std::vector<VmId> chosen;
     const std::uint64_t backendHash = stableHash(backend.id.value);
-    const auto addFrom = [&](const std::vector<VmId> &candidates) {
+    const auto isZoneUsed = [&](const VmId &candidate) {
+        return std::any_of(chosen.begin(), chosen.end(),
+            [&](const VmId &vm) { return sessions_.at(vm).report.zone == sessions_.at(candidate).report.zone; });
+    };
+    const auto addFrom = [&](const std::vector<VmId> &candidates, bool requiresOtherZone) {
         while (chosen.size() < HomesPerBackend) {
             const VmId *best = nullptr;
             std::pair<std::size_t, std::uint64_t> bestKey;
@@ -43,7 +47,9 @@
                 const auto count = homeCounts.find(vm);
                 const std::pair key(
                     count == homeCounts.end() ? std::size_t { 0 } : count->second, stableRank(vm, backendHash));
-                if ((best == nullptr || key < bestKey) && std::find(chosen.begin(), chosen.end(), vm) == chosen.end()) {
+                const bool isEligible = std::find(chosen.begin(), chosen.end(), vm) == chosen.end()
+                    && (!requiresOtherZone || !isZoneUsed(vm));
+                if (isEligible && (best == nullptr || key < bestKey)) {
                     best = &vm;
                     bestKey = key;
                 }
@@ -63,16 +69,21 @@
             }
         }
     }
-    addFrom(localHolders);
-    addFrom(otherHolders);
+    std::vector<const std::vector<VmId> *> ranked { &localHolders, &otherHolders };
     if (const auto local = byZone.find(backend.zone); local != byZone.end()) {
-        addFrom(local->second);
+        ranked.push_back(&local->second);
     }
     for (const auto &[zone, vms] : byZone) {
         if (zone != backend.zone) {
-            addFrom(vms);
+            ranked.push_back(&vms);
         }
     }
+    for (const std::vector<VmId> *candidates : ranked) {
+        addFrom(*candidates, spreadsZones);
+    }
+    for (const std::vector<VmId> *candidates : ranked) {
+        addFrom(*candidates, false);
+    }
     return chosen;
 }
 
@@ -86,6 +97,49 @@
 
 // If every entry can hold a few connections, statements need no forwarding. If connections are too scarce for that, a
 // few entries in the zone of the server hold all of them, so that none is idle while another entry waits for one.
+std::vector<EntryRegistry::HomeGroup> EntryRegistry::groupsWithHomes(const SupervisionState &state) const
+{
+    std::vector<HomeGroup> groups;
+    std::map<ServiceId, std::size_t> groupOf;
+    const std::size_t directConnections = directConnectionsOfEntry(state);
+    for (const auto &[id, backend] : state.backends()) {
+        const ServiceLimits *limits = state.limitsOf(backend.service);
+        if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
+            continue;
+        }
+        if (limits->syncReplicas == 0) {
+            groups.push_back({ { &backend }, &backend, false });
+            continue;
+        }
+        const auto [found, isNew] = groupOf.try_emplace(backend.service, groups.size());
+        if (isNew) {
+            groups.push_back({ {}, &backend, true });
+        }
+        HomeGroup &group = groups[found->second];
+        group.backends.push_back(&backend);
+        if (const PrimaryRecord *primary = state.primaryOf(backend.service);
+            primary != nullptr && primary->backend == id) {
+            group.anchor = &backend;
+        }
+    }
+    return groups;
+}
+
+std::vector<VmId> EntryRegistry::currentHomes(Instant now, const HomeGroup &group) const
+{
+    const std::vector<VmId> *current = nullptr;
+    for (const BackendRecord *backend : group.backends) {
+        const auto found = homes_.find(backend->id);
+        if (found != homes_.end() && current != nullptr && found->second != *current) {
+            return {};
+        }
+        current = found == homes_.end() ? current : &found->second;
+    }
+    const bool isComplete = current != nullptr && current->size() == HomesPerBackend
+        && std::all_of(current->begin(), current->end(), [this, now](const VmId &vm) { return isAvailable(now, vm); });
+    return isComplete ? *current : std::vector<VmId> {};
+}
+
 bool EntryRegistry::assignHomes(Instant now, const SupervisionState &state)
 {
     if (isAwaitingHomes(now) || (homesVersion_ == 0 && now - leaderSince_ < timing_.quotaGrantDelay)) {
@@ -105,33 +159,26 @@
     }
     std::map<BackendId, std::vector<VmId>> chosen;
     std::map<VmId, std::size_t> homeCounts;
-    std::vector<const BackendRecord *> unassigned;
-    const std::size_t directConnections = directConnectionsOfEntry(state);
-    for (const auto &[id, backend] : state.backends()) {
-        const ServiceLimits *limits = state.limitsOf(backend.service);
-        if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
-            continue;
-        }
-        const auto current = homes_.find(id);
-        const bool isComplete = current != homes_.end() && current->second.size() == HomesPerBackend
-            && std::all_of(current->second.begin(), current->second.end(),
-                [this, now](const VmId &vm) { return isAvailable(now, vm); });
-        if (!isComplete) {
-            unassigned.push_back(&backend);
-            continue;
+    const auto assign = [&](const HomeGroup &group, const std::vector<VmId> &homes) {
+        for (const BackendRecord *backend : group.backends) {
+            chosen[backend->id] = homes;
+            for (const VmId &vm : homes) {
+                ++homeCounts[vm];
+            }
         }
-        chosen[id] = current->second;
-        for (const VmId &vm : current->second) {
-            ++homeCounts[vm];
+    };
+    std::vector<HomeGroup> unassigned;
+    for (const HomeGroup &group : groupsWithHomes(state)) {
+        if (const std::vector<VmId> homes = currentHomes(now, group); !homes.empty()) {
+            assign(group, homes);
+        } else {
+            unassigned.push_back(group);
         }
     }
-    for (const BackendRecord *backend : unassigned) {
-        const std::vector<VmId> homes = chooseHomes(now, *backend, holders, byZone, homeCounts);
-        for (const VmId &vm : homes) {
-            ++homeCounts[vm];
-        }
+    for (const HomeGroup &group : unassigned) {
+        const std::vector<VmId> homes = chooseHomes(now, *group.anchor, group.isShared, holders, byZone, homeCounts);
         if (!homes.empty()) {
-            chosen[backend->id] = homes;
+            assign(group, homes);
         }
     }
     std::map<BackendId, std::vector<VmId>> relays = chooseRelays(now);
--- a/unittests/proxy/commitreceiptstest.cpp
+++ b/unittests/proxy/commitreceiptstest.cpp
@@ -10,6 +10,7 @@
 struct SynchronousService : Utest {
     FakeService service;
     SessionId session = 0;
+    std::uint64_t homesVersion = 0;
 
     void setup() override
     {
@@ -29,6 +30,23 @@
         service.servers[server].isSilent = isSilent;
     }
 
+    /// Tells the entry that other entries are the homes of all servers. \p quotas are those of this entry.
+    void assignHomes(const std::map<std::string, std::uint32_t> &quotas)
+    {
+        EntryUpdate update;
+        update.homes.emplace();
+        update.homes->version = ++homesVersion;
+        update.homes->isLast = true;
+        for (const auto &[name, server] : service.servers) {
+            update.homes->homes.push_back({ BackendId { name }, { VmId { "home-1" }, VmId { "home-2" } } });
+        }
+        for (const auto &[name, connections] : quotas) {
+            update.quotas.push_back({ BackendId { name }, connections });
+        }
+        service.core.onControlUpdate(service.now, update);
+        service.performActions();
+    }
+
     /// Sends a write and returns the response to it.
     CallerResponse write()
     {
@@ -185,3 +203,38 @@
     CHECK(write().code == ResponseCode::Ok);
     CHECK_EQUAL(0, service.metrics.value("receipts_requested_total"));
 }
+
+// A server that control has removed may be the only one that has received a commit, and no survey asks it.
+TEST(CommitReceipts, HomeWithoutConnectionsToReplicasAcknowledgesNoCommit)
+{
+    assignHomes({ { "b0", 4 }, { "b1", 0 }, { "b2", 0 } });
+    service.run(500ms);
+    CHECK(write().code != ResponseCode::Ok);
+    CHECK_EQUAL(0U, service.committed.size());
+}
+
+// Another entry becomes the home of all servers while a commit waits for its receipt.
+TEST(CommitReceipts, CommitIsAcknowledgedAfterTheHomesHaveMoved)
+{
+    service.replicationLag = 100ms;
+    service.send(session, StatementType::Write, "item");
+    service.run(8ms); // The primary has acknowledged the commit by now.
+    assignHomes({ { "b0", 0 }, { "b1", 0 }, { "b2", 0 } });
+    CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
+    service.run(300ms);
+    CHECK_EQUAL(0U, service.connections.size());
+}
+
+// A transaction that is open when the homes move still commits at the former home.
+TEST(CommitReceipts, OpenTransactionCommitsAfterTheHomesHaveMoved)
+{
+    service.send(session, StatementType::Begin);
+    CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
+    CHECK(write().code == ResponseCode::Ok);
+    assignHomes({ { "b0", 0 }, { "b1", 0 }, { "b2", 0 } });
+    service.run(1s);
+    service.send(session, StatementType::Commit);
+    CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
+    service.run(300ms);
+    CHECK_EQUAL(0U, service.connections.size());
+}
--- a/unittests/supervision/replicationentries.cpp
+++ b/unittests/supervision/replicationentries.cpp
@@ -1,6 +1,8 @@
 // The part of the replication simulation in which entries write, and a zone may be cut off.
 #include "replicationsimulation.h"
 
+#include <algorithm>
+
 namespace daisyrelay {
 
 using namespace std::chrono_literals;
@@ -9,7 +11,12 @@
 
 bool ReplicationSimulation::hasEntries() const
 {
-    return faults_ == ReplicationFaults::AnyServerForgets || faults_ == ReplicationFaults::AnyServerOrZone;
+    return faults_ == ReplicationFaults::AnyServerForgets || hasCutsAndLateCalls();
+}
+
+bool ReplicationSimulation::hasCutsAndLateCalls() const
+{
+    return faults_ == ReplicationFaults::AnyServerOrZone || faults_ == ReplicationFaults::HomesAndLeavers;
 }
 
 // Control keeps a majority outside the zone that is cut off.
@@ -25,8 +32,9 @@
 
 void ReplicationSimulation::addEntries()
 {
-    for (int zone = 0; hasEntries() && zone < Zones; ++zone) {
-        entries_.emplace_back(zone);
+    const int entriesPerZone = faults_ == ReplicationFaults::HomesAndLeavers ? 3 : 1;
+    for (int entry = 0; hasEntries() && entry < Zones * entriesPerZone; ++entry) {
+        entries_.emplace_back(entry % Zones);
     }
 }
 
@@ -58,7 +66,7 @@
         EntryReport report;
         report.runId = 1;
         report.sequence = ++sequence_;
-        entry.recordReport(now_, report.sequence);
+        entry.sendReport(now_, report);
         schedule(std::chrono::milliseconds(1 + draw(5)), [this, index, report]() {
             if (isLeading_) {
                 supervisor_.onReport(now_, VmId { "e" + std::to_string(index) }, report);
@@ -74,9 +82,9 @@
     if (!entry.reachesControl || !canReach(entry.zone, ControlZone)) {
         return;
     }
-    std::set<std::string> servers;
+    std::map<std::string, bool> servers;
     for (const auto &[id, backend] : supervisor_.state().backends()) {
-        servers.insert(id.value);
+        servers[id.value] = backend.isDraining;
     }
     const PrimaryRecord *primary = supervisor_.state().primaryOf(backendService());
     deliver(entry, std::chrono::milliseconds(1 + draw(5)),
@@ -85,20 +93,34 @@
         });
 }
 
+// Each entry that has connections to the primary sends some of the commits.
+ReplicationEntry *ReplicationSimulation::writerOf(std::uint64_t commit, const Server &primary)
+{
+    std::vector<ReplicationEntry *> writers;
+    for (ReplicationEntry &entry : entries_) {
+        if (entry.writesTo(primary.name)) {
+            writers.push_back(&entry);
+        }
+    }
+    return writers.empty() ? nullptr : writers[commit % writers.size()];
+}
+
 // The primary acknowledges a commit to the entry that has sent it.
 void ReplicationSimulation::acknowledgeToEntry(std::uint64_t commit, std::size_t position)
 {
     const Server &primary = servers_[primary_];
-    ReplicationEntry &entry = entries_[commit % entries_.size()];
-    if (!canReach(entry.zone, primary.zone)) {
+    ReplicationEntry *writer = writerOf(commit, primary);
+    if (writer == nullptr || !canReach(writer->zone, primary.zone)) {
         return;
     }
+    ReplicationEntry &entry = *writer;
     deliver(
         entry, 1ms, [this, &entry, commit, point = LogPoint { commitTerms_[commit], position }, name = primary.name]() {
             if (!entry.writesTo(name)) {
                 return;
             }
-            if (requiresReceipts) {
+            const bool isWaived = waivesReceiptsWithoutReplicas && !entry.mayAskReplicas();
+            if (requiresReceipts && !isWaived) {
                 entry.onCommit(commit, point);
             } else {
                 acknowledged_.insert(commit);
@@ -144,10 +166,59 @@
     });
 }
 
+// The servers of a service are replaced one after the other. A replica leaves some time after control has recorded that
+// it drains.
+void ReplicationSimulation::drain(std::size_t index)
+{
+    Server &server = servers_[index];
+    const bool isAnyDraining = std::any_of(
+        servers_.begin(), servers_.end(), [](const Server &other) { return other.isDraining || other.hasLeft; });
+    if (index == primary_ || !server.isUp || isAnyDraining) {
+        return;
+    }
+    server.isDraining = true;
+    awaitDrain(index, now_);
+}
+
+void ReplicationSimulation::awaitDrain(std::size_t index, Instant drainingSince)
+{
+    const Server &server = servers_[index];
+    const BackendRecord *record = supervisor_.state().find(BackendId { server.name });
+    if (!server.isDraining || !server.isUp || index == primary_) {
+        return;
+    }
+    if (record == nullptr || !record->isDraining) {
+        drainingSince = now_;
+    }
+    constexpr Duration DrainTime = 7s; // DrainMs of the users' deployments.
+    if (now_ - drainingSince >= DrainTime && isLeading_ && reachesControl(server)) {
+        leave(index);
+        return;
+    }
+    schedule(50ms, [this, index, drainingSince]() { awaitDrain(index, drainingSince); });
+}
+
+// Control removes the record of the server, which receives until it ends. Its successor has its log.
+void ReplicationSimulation::leave(std::size_t index)
+{
+    Server &server = servers_[index];
+    server.hasLeft = true;
+    supervisor_.onRequest(now_, ++sequence_, BackendLeave { BackendId { server.name }, server.startedAtMs });
+    performActions();
+    const Duration runningOnFor = std::chrono::milliseconds(draw(4000));
+    schedule(runningOnFor, [&server]() { server.isUp = false; });
+    schedule(runningOnFor + 1s, [this, &server]() {
+        server.hasLeft = false;
+        server.isDraining = false;
+        server.isUp = true;
+        restart(server);
+    });
+}
+
 void ReplicationSimulation::drawEntryFault(Duration lasting)
 {
     ReplicationEntry &entry = entries_[static_cast<std::size_t>(draw(static_cast<int>(entries_.size())))];
-    switch (draw(faults_ == ReplicationFaults::AnyServerOrZone ? 4 : 2)) {
+    switch (draw(hasCutsAndLateCalls() ? 4 : 2)) {
     case 0:
         entry.reachesControl = false;
         schedule(lasting, [&entry]() { entry.reachesControl = true; });
--- a/unittests/supervision/replicationentry.cpp
+++ b/unittests/supervision/replicationentry.cpp
@@ -1,20 +1,40 @@
 #include "replicationentry.h"
 
+#include <algorithm>
+
 namespace daisyrelay {
 
 ReplicationEntry::ReplicationEntry(int ownZone) : zone(ownZone)
 {
 }
 
-void ReplicationEntry::recordReport(Instant now, std::uint64_t sequence)
+void ReplicationEntry::sendReport(Instant now, EntryReport &report)
 {
-    sentReports_.record(now, sequence);
+    sentReports_.record(now, report.sequence);
+    report.zone = ZoneId { "z" + std::to_string(zone) };
+    report.homesVersion = homesVersion_;
+    for (const auto &[server, quota] : quotas_) {
+        const std::uint32_t held = std::max<std::uint32_t>(quota, connections_.contains(server) ? 1 : 0);
+        if (held > 0) {
+            report.heldQuotas.push_back({ BackendId { server }, held });
+        }
+    }
 }
 
-void ReplicationEntry::onUpdate(const EntryUpdate &update, std::set<std::string> servers, const std::string &primary)
+void ReplicationEntry::onUpdate(
+    const EntryUpdate &update, std::map<std::string, bool> servers, const std::string &primary)
 {
     servers_ = std::move(servers);
-    std::erase_if(connections_, [this](const auto &connection) { return !servers_.contains(connection.first); });
+    for (const ConnectionQuota &quota : update.quotas) {
+        quotas_[quota.backend.value] = quota.connections;
+    }
+    if (update.homes) {
+        homesVersion_ = update.homes->version;
+    }
+    // Connections above the quota stay open while commits wait for a receipt.
+    std::erase_if(connections_, [this](const auto &connection) {
+        return !servers_.contains(connection.first) || (quotas_[connection.first] == 0 && !awaitsReceipts());
+    });
     if (primary_ != primary) {
         receipts_.takeAll();
         primary_ = primary;
@@ -28,7 +48,8 @@
 void ReplicationEntry::connect(Instant now, const ServerState &server)
 {
     const auto found = connections_.find(server.name);
-    if (!servers_.contains(server.name)) {
+    const auto quota = quotas_.find(server.name);
+    if (!servers_.contains(server.name) || quota == quotas_.end() || quota->second == 0) {
         return;
     }
     if (found == connections_.end() || found->second.startedAtMs != server.startedAtMs) {
@@ -49,7 +70,7 @@
 std::vector<SessionId> ReplicationEntry::onStatus(Instant now, const ServerState &server)
 {
     const auto connection = connections_.find(server.name);
-    if (server.name == primary_ || !servers_.contains(server.name) || connection == connections_.end()
+    if (!isAsked(server.name) || connection == connections_.end()
         || connection->second.startedAtMs != server.startedAtMs
         || !receipts_.counts(now, connection->second.openedAt)) {
         return {};
@@ -57,9 +78,26 @@
     return receipts_.takeReceived(server.received);
 }
 
+// A replica that drains is asked only if no other one is left.
+bool ReplicationEntry::isAsked(const std::string &server) const
+{
+    const auto found = servers_.find(server);
+    const bool hasStaying = std::any_of(servers_.begin(), servers_.end(),
+        [this](const auto &known) { return known.first != primary_ && !known.second; });
+    return server != primary_ && found != servers_.end() && (!found->second || !hasStaying);
+}
+
 bool ReplicationEntry::writesTo(const std::string &server) const
 {
-    return !isWithdrawn_ && server == primary_;
+    const auto quota = quotas_.find(server);
+    return !isWithdrawn_ && server == primary_ && quota != quotas_.end() && quota->second > 0;
+}
+
+bool ReplicationEntry::mayAskReplicas() const
+{
+    return std::any_of(quotas_.begin(), quotas_.end(), [this](const auto &quota) {
+        return quota.first != primary_ && servers_.contains(quota.first) && quota.second > 0;
+    });
 }
 
 bool ReplicationEntry::awaitsReceipts() const
--- a/unittests/supervision/replicationentry.h
+++ b/unittests/supervision/replicationentry.h
@@ -21,13 +21,14 @@
 
     explicit ReplicationEntry(int zone);
 
-    /// Records that report \p sequence is being sent to control.
-    void recordReport(Instant now, std::uint64_t sequence);
+    /// Fills in and records the report that is being sent to control.
+    void sendReport(Instant now, EntryReport &report);
 
     /// Applies an update of control, which had recorded \p servers and \p primary when it made it.
-    void onUpdate(const EntryUpdate &update, std::set<std::string> servers, const std::string &primary);
+    /// \p servers tells of each server whether it drains.
+    void onUpdate(const EntryUpdate &update, std::map<std::string, bool> servers, const std::string &primary);
 
-    /// Opens a connection to the running process of \p server, unless there is one or the server is unknown.
+    /// Opens a connection to the running process of \p server if there is none and the quota permits it.
     void connect(Instant now, const ServerState &server);
     void disconnect(const std::string &server);
 
@@ -41,12 +42,16 @@
     /// Tells whether the entry sends writes to \p server.
     [[nodiscard]] bool writesTo(const std::string &server) const;
     [[nodiscard]] bool awaitsReceipts() const;
+    /// Tells whether the entry may have connections to a replica.
+    [[nodiscard]] bool mayAskReplicas() const;
 
     const int zone;
     bool reachesControl = true;
     Instant suspendedUntil {};
 
 private:
+    [[nodiscard]] bool isAsked(const std::string &server) const;
+
     struct Connection {
         std::int64_t startedAtMs = 0;
         Instant openedAt {};
@@ -55,8 +60,10 @@
     CommitReceipts receipts_ { ProxyTiming().maxReplicaRecordAge };
     SentReports sentReports_;
     std::string primary_;
-    std::set<std::string> servers_;
+    std::map<std::string, bool> servers_; ///< Whether each known server drains.
     bool isWithdrawn_ = true;
+    std::map<std::string, std::uint32_t> quotas_;
+    std::uint64_t homesVersion_ = 0;
     std::map<std::string, Connection> connections_;
 };
 
--- a/unittests/supervision/replicationsimulation.cpp
+++ b/unittests/supervision/replicationsimulation.cpp
@@ -146,7 +146,7 @@
 void ReplicationSimulation::startServer()
 {
     constexpr std::size_t MaxServers = 12;
-    if (servers_.size() >= MaxServers || !servers_[primary_].isUp) {
+    if (faults_ == ReplicationFaults::AnyServer || servers_.size() >= MaxServers || !servers_[primary_].isUp) {
         return;
     }
     Server added { "b" + std::to_string(servers_.size()), draw(3) };
@@ -171,7 +171,7 @@
 void ReplicationSimulation::sendHeartbeat(std::size_t index)
 {
     const Server &server = servers_[index];
-    if (!server.isUp || !reachesControl(server) || !isLeading_ || now_ < server.heartbeatsFrom) {
+    if (!server.isUp || server.hasLeft || !reachesControl(server) || !isLeading_ || now_ < server.heartbeatsFrom) {
         return;
     }
     BackendHeartbeat heartbeat;
@@ -191,7 +191,7 @@
         entry.reachesControl = true;
     }
     for (Server &server : servers_) {
-        server.isUp = true;
+        server.isUp = server.isUp || !server.hasLeft;
         server.reachesControl = true;
         server.receives = true;
     }
@@ -230,6 +230,10 @@
         schedule(lasting, [&server]() { server.receives = true; });
         break;
     case 3:
+        if (faults_ == ReplicationFaults::HomesAndLeavers) {
+            drain(index);
+            break;
+        }
         server.isDraining = true;
         schedule(lasting + 1s, [this, &server, sparesPrimary]() {
             // Another process gets its log.
@@ -251,9 +255,7 @@
         changeLeader();
         break;
     case 7:
-        if (faults_ != ReplicationFaults::AnyServer) {
-            startServer();
-        }
+        startServer();
         break;
     default:
         break;
@@ -356,7 +358,7 @@
         delay = call.timeout;
         // Some are never carried out.
         if (!holdsOneIn(3)) {
-            const int maxDelayMs = faults_ == ReplicationFaults::AnyServerOrZone ? 12000 : 5000;
+            const int maxDelayMs = hasCutsAndLateCalls() ? 12000 : 5000;
             schedule(std::chrono::milliseconds(draw(maxDelayMs)), [this, index, token = call.fencingToken]() {
                 highestToken_ = std::max(highestToken_, token);
                 promote(index, token);
--- a/unittests/supervision/replicationsimulation.h
+++ b/unittests/supervision/replicationsimulation.h
@@ -23,6 +23,8 @@
                       ///< suspended and cut off from control.
     AnyServerOrZone, ///< As AnyServerForgets. Besides, a zone is cut off with its servers and its entry, and calls of
                      ///< the platform are carried out up to twelve seconds late.
+    HomesAndLeavers, ///< As AnyServerOrZone, with so many entries that homes hold the connections. Besides, servers
+                     ///< leave and run on for a while, since the response to their request was lost.
 };
 
 class ReplicationSimulation
@@ -35,6 +37,7 @@
     void run(Duration duration);
 
     bool requiresReceipts = true; ///< Whether entries obey CommitReceipts.
+    bool waivesReceiptsWithoutReplicas = false; ///< Entries without connections to replicas require no receipt.
     std::string violation;
     std::size_t promotionCount = 0;
     std::size_t acknowledgedCommits = 0;
@@ -47,6 +50,7 @@
         std::int64_t startedAtMs = 1;
         bool isUp = true;
         bool isDraining = false;
+        bool hasLeft = false; ///< Sends no heartbeats any more.
         bool reachesControl = true;
         bool receives = true; ///< Whether the network passes on commits of the primary.
         bool hasSteppedDown = false;
@@ -78,6 +82,7 @@
 
     // replicationentries.cpp
     [[nodiscard]] bool hasEntries() const;
+    [[nodiscard]] bool hasCutsAndLateCalls() const;
     [[nodiscard]] bool canReach(int one, int other) const;
     [[nodiscard]] bool reachesControl(const Server &server) const;
     void addEntries();
@@ -89,6 +94,10 @@
     void stepEntries();
     void requestReceipts(ReplicationEntry &entry, const Server &server);
     void drawEntryFault(Duration lasting);
+    [[nodiscard]] ReplicationEntry *writerOf(std::uint64_t commit, const Server &primary);
+    void drain(std::size_t index);
+    void awaitDrain(std::size_t index, Instant drainingSince);
+    void leave(std::size_t index);
 
     static constexpr Duration StepTime = std::chrono::milliseconds(5);
     static constexpr int ControlZone = -1;
