Keep the record of a replica that leaves while its primary is replaced

Callers would see acknowledged commits missing after a promotion.

Cause: a Leave was accepted at any time, although a survey must ask each server that may hold the only copy of a commit.

Change: where commits wait for a replica, control answers the Leave of a replica with 503 unless the primary is known to lead and no replica is paused. The server ends all the same; its record stays until its successor, which has its log, starts at its address, or it is silent for backendExpiry. The survey waits for it until then.

Evidence: SynchronousReplication.ReplicaMayNotLeaveWhileThePrimaryIsReplaced fails without the change.

--- a/include/daisyrelay/supervision/primarymonitor.h
+++ b/include/daisyrelay/supervision/primarymonitor.h
@@ -53,6 +53,10 @@
     /// Tells whether the primary is being replaced.
     [[nodiscard]] bool isFailingOver() const;
 
+    /// Returns whether the primary is not known to lead and \p replica may hold the only copy of commits that were
+    /// acknowledged. A server that ends passes its log on to its successor, which is asked in its place.
+    [[nodiscard]] bool mayNeedReplica(Instant now, const MonitorContext &context, const BackendId &replica) const;
+
     /// Returns the expected time until the primary is replaced. Requires a failover in progress.
     [[nodiscard]] Duration expectedRemaining(
         Instant now, const LeaseLedger &leases, const FailoverForecast &forecast) const;
--- a/lib/supervision/controlrequests.cpp
+++ b/lib/supervision/controlrequests.cpp
@@ -82,6 +82,15 @@
         respond(requestId, ControlStatus::Done);
         return;
     }
+    const auto monitor = monitors_.find(known->service);
+    if (monitor != monitors_.end() && monitor->second.mayNeedReplica(now, context(), known->id)) {
+        metrics_.add("leaves_refused_total");
+        log_.log(now, "backend.leave-refused",
+            { { "backend", std::string_view(known->id.value) },
+                { "service", std::string_view(known->service.value) } });
+        respond(requestId, ControlStatus::Unavailable);
+        return;
+    }
     BackendLeave resolved = leave;
     resolved.startedAtMs = known->startedAtMs;
     propose(RemoveBackend { resolved.backend, resolved.startedAtMs });
--- a/lib/supervision/primarysurvey.cpp
+++ b/lib/supervision/primarysurvey.cpp
@@ -35,6 +35,14 @@
     return limits != nullptr && limits->syncReplicas > 0;
 }
 
+bool PrimaryMonitor::mayNeedReplica(Instant now, const MonitorContext &context, const BackendId &replica) const
+{
+    const PrimaryRecord *primary = context.state.primaryOf(service_);
+    const bool isLeading = stage_ == Stage::Monitoring && lastProbeResult_ == ProbeResult::IsPrimary && paused_.empty()
+        && now >= retryAt_;
+    return !isLeading && mustPauseReplication(context) && primary != nullptr && primary->backend != replica;
+}
+
 // Replicas that stay paused would keep the commits of the primary waiting. They stay so only while a promotion may
 // still be carried out, which needs the positions of the survey to be final.
 void PrimaryMonitor::resumeUnlessInDoubt(Instant now, const MonitorContext &context)
--- a/unittests/supervision/synchronousreplicationtest.cpp
+++ b/unittests/supervision/synchronousreplicationtest.cpp
@@ -31,6 +31,35 @@
     CHECK_EQUAL(std::string("b1"), promotions.front().backend.value);
 }
 
+// The record of a replica that leaves during a survey must stay: the others may lack commits that only it holds.
+TEST(SynchronousReplication, ReplicaMayNotLeaveWhileThePrimaryIsReplaced)
+{
+    startService(1);
+    positions = { { "b1", { 1, 9 } }, { "b2", { 1, 5 } } };
+    sendHeartbeat("b1", 2, 1, true);
+    unresponsive = { "b0", "b2" };
+    advance(1s);
+    CHECK(promotions.empty());
+    sendRequest(BackendLeave { BackendId { "b1" }, 1 });
+    CHECK(supervisor.state().find(BackendId { "b1" }) != nullptr);
+    unresponsive = { "b0", "b1" };
+    advance(1s);
+    CHECK(promotions.empty());
+    unresponsive = { "b0" };
+    advance(1s);
+    CHECK_EQUAL(1U, promotions.size());
+    CHECK_EQUAL(std::string("b1"), promotions.front().backend.value);
+}
+
+TEST(SynchronousReplication, ReplicaLeavesWhileThePrimaryIsHealthy)
+{
+    startService(1);
+    sendHeartbeat("b1", 2, 1, true);
+    advance(500ms);
+    sendRequest(BackendLeave { BackendId { "b1" }, 1 });
+    CHECK(supervisor.state().find(BackendId { "b1" }) == nullptr);
+}
+
 // A draining server would have to be replaced again.
 TEST(SynchronousReplication, StayingReplicaIsPromotedAmongEqualOnes)
 {
