Name prepared statements for each backend connection

Cause: ProxyCore::preparedName kept one table of names for all sessions and connections and emptied it at 4,096. The PREPARE and the EXEC of one statement asked it separately, so that a name could change in between; after a BEGIN the time in between is that of its response.

Change: each connection maps the statements that it has prepared to their numbers there, and the EXEC takes the name from the connection that runs it. The shared table is gone. A new name beyond the 64 of a connection replaces the oldest (DEALLOC) instead of clearing names and values (RESET), also within a transaction, and only if the name is new.

Related paths: a PREPARE that is rejected beside a successful BEGIN sends no EXEC, the transaction starts again. Names that a server has lost are prepared again, also within a transaction that stays open; if the transaction has failed, the client gets ABORTED, since NOSTMT would deny a name that it has prepared. At a home the same code runs with the shape that the request carries. While a statement waits, its session handles no PREPARE or DEALLOC. A response that never comes closes the connection, and the names with it.

--- a/include/daisyrelay/proxy/backendpool.h
+++ b/include/daisyrelay/proxy/backendpool.h
@@ -37,7 +37,10 @@
     Instant openedAt {}; ///< The server process at the other end runs since then or longer.
     Instant deadline {}; ///< The connection is closed if opening or the exchange has not ended by this time.
     std::map<std::string, std::string> values; ///< Session values set at the backend server.
-    std::set<std::string> prepared; ///< Names of the statements prepared at the backend server.
+    /// Statements prepared at the backend server, and the numbers in their names, which are valid at this connection
+    /// only. The numbers increase; none is used twice.
+    std::map<PreparedStatement, std::uint64_t> prepared;
+    std::uint64_t lastPreparedNumber = 0;
     std::vector<StatementType> sentTypes; ///< Types of the statements of the exchange, in the order sent.
     std::size_t payloadIndex = 0; ///< Index in the exchange of the caller's statement or of the BEGIN sent before it.
     bool isInTransaction = false; ///< The exchange in flight belongs to a transaction, which keeps the connection.
--- a/include/daisyrelay/proxy/proxycore.h
+++ b/include/daisyrelay/proxy/proxycore.h
@@ -265,11 +265,12 @@
         std::optional<LogPoint> minPoint);
     void sendAfterBegin(Instant now, Session &session, BackendConnection &connection);
     void startExchange(Instant now, BackendConnection &connection, RunExchange exchange);
-    Statement makePayload(const Session &session);
+    [[nodiscard]] static bool hasPrepared(const Session &session, const BackendConnection &connection);
+    [[nodiscard]] static Statement makePayload(const Session &session, const BackendConnection &connection);
     static Statement makeOwnStatement(StatementType type);
     void appendSessionState(const Session &session, const PendingStatement &pending, BackendConnection &connection,
         std::vector<Statement> &out);
-    const std::string &preparedName(const PreparedStatement &statement);
+    void prepareAt(BackendConnection &connection, const PreparedStatement &prepared, std::vector<Statement> &out) const;
     void samplePosition(Instant now, Service &service);
     void sampleNewPrimary(Instant now, const BackendPool &pool);
     void rollBackConnection(Instant now, BackendConnection &connection);
@@ -296,6 +297,7 @@
     // outcomes.cpp
     void onBeginResponse(Instant now, BackendPool &pool, BackendConnection &connection, const BackendResponse &response,
         Session *session);
+    void forgetUnknownNames(BackendConnection &connection, const std::vector<BackendResponse> &responses);
     void onStatementResponses(
         Instant now, BackendPool &pool, BackendConnection &connection, std::vector<BackendResponse> &responses);
     /// \p connection runs the rest of the transaction; zero if there is none.
@@ -377,8 +379,6 @@
     std::uint64_t nextSequence_; ///< Differs between runs, so that a late response to another run matches no request.
     std::set<SessionId> activeSessions_; ///< Sessions with a pending statement.
     std::unordered_map<ConnectionId, BackendId> connections_;
-    std::map<PreparedStatement, std::string> preparedNames_;
-    std::uint64_t nextPreparedName_ = 1;
     ConnectionId nextConnection_ = 1;
     Instant lastIdleCheckAt_ {};
     Instant lastServiceCheckAt_ {};
--- a/lib/proxy/exchanges.cpp
+++ b/lib/proxy/exchanges.cpp
@@ -12,27 +12,13 @@
     return statement;
 }
 
-const std::string &ProxyCore::preparedName(const PreparedStatement &statement)
-{
-    constexpr std::size_t MaxNames = 4096;
-    if (preparedNames_.size() >= MaxNames) {
-        // Safe: each connection keeps its own set of names, and numbers are never reused.
-        preparedNames_.clear();
-    }
-    std::string &name = preparedNames_[statement];
-    if (name.empty()) {
-        name = "p" + std::to_string(nextPreparedName_++);
-    }
-    return name;
-}
-
 // Appends the statements that set the session's values and prepared statement at the connection.
 void ProxyCore::appendSessionState(
     const Session &session, const PendingStatement &pending, BackendConnection &connection, std::vector<Statement> &out)
 {
     const bool hasForeignValue = std::any_of(connection.values.begin(), connection.values.end(),
         [&session](const auto &value) { return !session.values.contains(value.first); });
-    if (hasForeignValue || connection.prepared.size() >= timing_.maxPreparedStatements) {
+    if (hasForeignValue) {
         out.push_back(makeOwnStatement(StatementType::Reset));
         connection.values.clear();
         connection.prepared.clear();
@@ -48,17 +34,8 @@
         out.push_back(std::move(set));
         connection.values[name] = value;
     }
-    if (pending.statement.type != StatementType::Execute) {
-        return;
-    }
-    const PreparedStatement &prepared = session.prepared.at(pending.statement.name);
-    const std::string &name = preparedName(prepared);
-    if (connection.prepared.insert(name).second) {
-        Statement prepare = makeOwnStatement(StatementType::Prepare);
-        prepare.name = name;
-        prepare.argument = prepared.shape;
-        prepare.preparesWrite = prepared.isWrite;
-        out.push_back(std::move(prepare));
+    if (pending.statement.type == StatementType::Execute) {
+        prepareAt(connection, session.prepared.at(pending.statement.name), out);
     }
 }
 
@@ -95,7 +72,7 @@
         exchange.statements.push_back(std::move(beginStatement));
         connection.confirmsPrimary = !minPoint;
     } else {
-        Statement payload = makePayload(session);
+        Statement payload = makePayload(session, connection);
         payload.minPoint = minPoint;
         exchange.statements.push_back(std::move(payload));
         const bool isInPlainTransaction = session.transaction && !session.transaction->isReadOnly;
@@ -126,7 +103,7 @@
 // Sends the statement after a successful BEGIN, and for a single read the ROLLBACK that ends its transaction.
 void ProxyCore::sendAfterBegin(Instant now, Session &session, BackendConnection &connection)
 {
-    RunExchange exchange { connection.id, { makePayload(session) } };
+    RunExchange exchange { connection.id, { makePayload(session, connection) } };
     if (session.pending->role == PendingStatement::Role::Single) {
         exchange.statements.push_back(makeOwnStatement(StatementType::Rollback));
     }
@@ -136,15 +113,6 @@
     startExchange(now, connection, std::move(exchange));
 }
 
-Statement ProxyCore::makePayload(const Session &session)
-{
-    Statement payload = session.pending->statement;
-    if (payload.type == StatementType::Execute) {
-        payload.name = preparedName(session.prepared.at(payload.name));
-    }
-    return payload;
-}
-
 void ProxyCore::startExchange(Instant now, BackendConnection &connection, RunExchange exchange)
 {
     connection.state = BackendConnection::State::Busy;
--- a/lib/proxy/outcomes.cpp
+++ b/lib/proxy/outcomes.cpp
@@ -125,6 +125,10 @@
         connection.session = 0;
         rollBackConnection(now, connection);
         retryStatement(now, *session, pool, ResponseCode::Busy);
+    } else if (session != nullptr && !hasPrepared(*session, connection)) {
+        connection.session = 0;
+        rollBackConnection(now, connection);
+        retryStatement(now, *session, pool, ResponseCode::UnknownStatement);
     } else if (session != nullptr) {
         sendAfterBegin(now, *session, connection);
     } else {
@@ -140,6 +144,7 @@
     Session *session = findSession(connection.session);
     BackendResponse &response = responses[connection.payloadIndex];
     const bool isAwaited = session != nullptr && session->pending && session->pending->connection == id;
+    forgetUnknownNames(connection, responses);
     if (connection.awaitsBegin && response.code == ResponseCode::Ok) {
         onBeginResponse(now, pool, connection, response, isAwaited ? session : nullptr);
         return;
@@ -151,9 +156,6 @@
         onConnectionLost(now, id, ConnectionLoss::Broken);
         return;
     }
-    if (response.code == ResponseCode::UnknownStatement) {
-        connection.prepared.clear();
-    }
     if (response.code == ResponseCode::Ok && !isLeaseValid(now, pool, connection)) {
         metrics_.add("answers_after_lease_total");
         actions_.emplace_back(CloseBackendConnection { id });
@@ -173,9 +175,9 @@
     }
     const bool keepsTransaction = state == TransactionState::Open && response.code == ResponseCode::Ok
         && session->transaction && session->pending->statement.type != StatementType::Commit;
-    const bool retriesHere = session->pending->role == PendingStatement::Role::Next
-        && response.code == ResponseCode::Busy && state == TransactionState::Open
-        && now + timing_.busyBackoff < session->pending->deadline;
+    const bool canRunHere = response.code == ResponseCode::Busy || response.code == ResponseCode::UnknownStatement;
+    const bool retriesHere = session->pending->role == PendingStatement::Role::Next && canRunHere
+        && state == TransactionState::Open && now + timing_.busyBackoff < session->pending->deadline;
     if (keepsTransaction || retriesHere) {
         connection.state = BackendConnection::State::InTransaction;
         connection.stateSince = now;
@@ -337,6 +339,10 @@
 
 void ProxyCore::finishStatement(Instant now, Session &session, CallerResponse response)
 {
+    if (response.code == ResponseCode::UnknownStatement) {
+        // Names that the caller has not prepared are rejected before this. The caller's own name is known.
+        response.code = ResponseCode::Aborted;
+    }
     dequeue(session);
     const PendingStatement pending = std::move(*session.pending);
     session.pending.reset();
--- a/unittests/proxy/fakeservers.cpp
+++ b/unittests/proxy/fakeservers.cpp
@@ -134,7 +134,15 @@
         connection.values.clear();
         connection.prepared.clear();
         break;
+    case StatementType::Deallocate:
+        connection.prepared.erase(statement.name);
+        break;
     case StatementType::Prepare:
+        if (rejectedPreparations > 0) {
+            --rejectedPreparations;
+            reject(connection, response, ResponseCode::Busy);
+            return;
+        }
         connection.prepared[statement.name] = (statement.preparesWrite ? "PUT " : "FETCH ") + statement.argument;
         break;
     case StatementType::Read:
--- a/unittests/proxy/fakeservice.h
+++ b/unittests/proxy/fakeservice.h
@@ -76,6 +76,7 @@
     std::uint32_t syncReplicas = 0; ///< Of the service; applied by configure().
     std::vector<PrimaryWithdrawal> withdrawn; ///< Named by all updates of control.
     std::size_t maxConnections = 1000; ///< Of each server.
+    std::size_t rejectedPreparations = 0; ///< Number of PREPARE statements that servers still reject.
 
     explicit FakeService(std::size_t size = 3, Duration revocationBound = Duration::zero());
 
--- a/unittests/proxy/forwardingtest.cpp
+++ b/unittests/proxy/forwardingtest.cpp
@@ -78,6 +78,10 @@
         statement.id = "g" + std::to_string(next++);
         statement.type = type;
         statement.text = text;
+        if (type == StatementType::Prepare || type == StatementType::Execute) {
+            statement.name = "s";
+            statement.argument = text;
+        }
         entry.onStatement(home.now, session, statement);
         performActions();
         for (int at = 0; responses[session].empty() && at < 3000; ++at) {
@@ -183,3 +187,19 @@
     home.run(100ms);
     CHECK_EQUAL(0U, home.committed.size());
 }
+
+// The home keeps fewer names at a connection than this transaction uses.
+TEST(StatementForwarding, TransactionRunsManyShapesAtHome)
+{
+    start(ReadGuarantee::Primary);
+    const SessionId session = open(1);
+    CHECK(execute(session, StatementType::Begin).code == ResponseCode::Ok);
+    for (int shape = 0; shape < 100; ++shape) {
+        const std::string text = "q" + std::to_string(shape);
+        CHECK(execute(session, StatementType::Prepare, text).code == ResponseCode::Ok);
+        const CallerResponse response = execute(session, StatementType::Execute, text);
+        CHECK(response.code == ResponseCode::Ok);
+        CHECK_EQUAL("FETCH " + text, response.rows.at(0));
+    }
+    CHECK(execute(session, StatementType::Commit, "COMMIT").code == ResponseCode::Ok);
+}
