Request connections to the replicas whose receipts commits need

Above 128 servers control grants connections only on request, and an entry requested them for its statements alone. An entry that only wrote to a service with SyncReplicas had no connection to a replica. Found by reading the callers of needsReceipt, and shown by a test only: CommitReceipts.EntryRequestsConnectionsToReplicas fails without the change.

An entry that cannot obtain a receipt now requests a connection to each replica that it has no quota for.

--- a/lib/proxy/receipts.cpp
+++ b/lib/proxy/receipts.cpp
@@ -70,6 +70,12 @@
     if (!mayCommit || !needsReceipt(service) || canObtainReceipt(now, service)) {
         return std::nullopt;
     }
+    // Control may grant connections to replicas only on request.
+    for (BackendPool *pool : receiptPools(service)) {
+        if (pool->quota() == 0) {
+            openForDemand(now, *pool, 1, session.workspace);
+        }
+    }
     const bool isExpectedSoon = lastControlUpdateAt_ && now - *lastControlUpdateAt_ < timing_.isolationTimeout;
     if (isExpectedSoon && now < pending.queueDeadline) {
         return Placement::Waiting;
--- a/unittests/proxy/commitreceiptstest.cpp
+++ b/unittests/proxy/commitreceiptstest.cpp
@@ -213,6 +213,28 @@
     CHECK_EQUAL(0U, service.committed.size());
 }
 
+// With many servers, control grants connections only on request. An entry that only writes would never get any to the
+// replicas, and its commits no receipt.
+TEST(CommitReceipts, EntryRequestsConnectionsToReplicas)
+{
+    EntryUpdate update;
+    update.quotas = { { BackendId { "b1" }, 0 }, { BackendId { "b2" }, 0 } };
+    service.core.onControlUpdate(service.now, update);
+    service.run(500ms);
+    service.send(session, StatementType::Write, "item");
+    EntryReport report;
+    service.core.fillReport(service.now, report);
+    std::set<std::string> requested;
+    for (const ConnectionQuota &quota : report.requestedQuotas) {
+        requested.insert(quota.backend.value);
+    }
+    CHECK(requested.contains("b1"));
+    CHECK(requested.contains("b2"));
+    update.quotas = { { BackendId { "b1" }, 1 }, { BackendId { "b2" }, 1 } };
+    service.core.onControlUpdate(service.now, update);
+    CHECK(service.awaitResponse(session).code == ResponseCode::Ok);
+}
+
 // Another entry becomes the home of all servers while a commit waits for its receipt.
 TEST(CommitReceipts, CommitIsAcknowledgedAfterTheHomesHaveMoved)
 {
