Choose one home for a server with a single usable connection

With MaxConns 3 or less and eight entries, each of two homes got half of one connection, that is none, and nothing was served. Found while looking for limits that change what is promised, and shown by a test only: SharedHomes.SingleConnectionBelongsToOneHome fails without the change (two homes with no connection each).

A server now has no more homes than usable connections.

--- a/include/daisyrelay/supervision/entryregistry.h
+++ b/include/daisyrelay/supervision/entryregistry.h
@@ -24,6 +24,9 @@
     bool mayHoldLease = false; ///< The entry is registered as a lease holder.
 };
 
+/// Returns the number of connections to a backend server that entries may share; at least one.
+[[nodiscard]] std::uint32_t usableConnections(const ServiceLimits &limits);
+
 /// Assigns each entry an equal share of the connections and gives unused connections to the entries that request more.
 ///
 /// Only a report of the entry itself lowers the count that is held against it, so the sum over all entries never
@@ -102,6 +105,7 @@
     struct HomeGroup {
         std::vector<const BackendRecord *> backends;
         const BackendRecord *anchor = nullptr; ///< Homes are chosen near this server.
+        std::size_t homeCount = HomesPerBackend; ///< Fewer if there are fewer connections.
         bool isShared = false; ///< The homes lie in different zones, so that a lost zone leaves one of them.
     };
 
@@ -110,8 +114,8 @@
     /// Returns the homes that the servers of \p group have, or none unless all of these are available and the same for
     /// each server that has any.
     [[nodiscard]] std::vector<VmId> currentHomes(Instant now, const HomeGroup &group) const;
-    /// Returns up to HomesPerBackend entries; with \p spreadsZones in different zones as far as possible.
-    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const BackendRecord &backend, bool spreadsZones,
+    /// Returns up to HomeGroup::homeCount entries.
+    [[nodiscard]] std::vector<VmId> chooseHomes(Instant now, const HomeGroup &group,
         const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
         const std::map<VmId, std::size_t> &homeCounts) const;
     void replaceHomes(Instant now, std::map<BackendId, std::vector<VmId>> homes);
--- a/lib/supervision/entryregistry.cpp
+++ b/lib/supervision/entryregistry.cpp
@@ -4,6 +4,11 @@
 
 namespace daisyrelay {
 
+std::uint32_t usableConnections(const ServiceLimits &limits)
+{
+    return limits.maxConnections > ReservedConnections ? limits.maxConnections - ReservedConnections : 1;
+}
+
 EntryRegistry::EntryRegistry(SupervisionTiming timing) : timing_(timing)
 {
 }
@@ -211,8 +216,7 @@
         if (limits == nullptr) {
             continue;
         }
-        const std::uint32_t usable
-            = limits->maxConnections > ReservedConnections ? limits->maxConnections - ReservedConnections : 1;
+        const std::uint32_t usable = usableConnections(*limits);
         const auto requested = requestedQuotas.find(id);
         const std::uint32_t requestedCount = requested == requestedQuotas.end() ? 0 : requested->second;
         const std::uint32_t target = isStartup ? 1 : targetQuotaOf(entry, id, usable, requestedCount);
--- a/lib/supervision/homeassignment.cpp
+++ b/lib/supervision/homeassignment.cpp
@@ -29,18 +29,19 @@
 
 // Prefers entries that hold connections, so that a new leader or a lost entry moves as few homes as possible, then
 // entries in the zone of the server with the fewest homes.
-std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const BackendRecord &backend, bool spreadsZones,
+std::vector<VmId> EntryRegistry::chooseHomes(Instant now, const HomeGroup &group,
     const std::map<BackendId, std::vector<VmId>> &holders, const std::map<ZoneId, std::vector<VmId>> &byZone,
     const std::map<VmId, std::size_t> &homeCounts) const
 {
     std::vector<VmId> chosen;
+    const BackendRecord &backend = *group.anchor;
     const std::uint64_t backendHash = stableHash(backend.id.value);
     const auto isZoneUsed = [&](const VmId &candidate) {
         return std::any_of(chosen.begin(), chosen.end(),
             [&](const VmId &vm) { return sessions_.at(vm).report.zone == sessions_.at(candidate).report.zone; });
     };
     const auto addFrom = [&](const std::vector<VmId> &candidates, bool requiresOtherZone) {
-        while (chosen.size() < HomesPerBackend) {
+        while (chosen.size() < group.homeCount) {
             const VmId *best = nullptr;
             std::pair<std::size_t, std::uint64_t> bestKey;
             for (const VmId &vm : candidates) {
@@ -79,7 +80,7 @@
         }
     }
     for (const std::vector<VmId> *candidates : ranked) {
-        addFrom(*candidates, spreadsZones);
+        addFrom(*candidates, group.isShared);
     }
     for (const std::vector<VmId> *candidates : ranked) {
         addFrom(*candidates, false);
@@ -107,13 +108,14 @@
         if (limits == nullptr || limits->maxConnections >= ReservedConnections + directConnections * sessions_.size()) {
             continue;
         }
+        const std::size_t homeCount = std::min<std::size_t>(usableConnections(*limits), HomesPerBackend);
         if (limits->syncReplicas == 0) {
-            groups.push_back({ { &backend }, &backend, false });
+            groups.push_back({ { &backend }, &backend, homeCount, false });
             continue;
         }
         const auto [found, isNew] = groupOf.try_emplace(backend.service, groups.size());
         if (isNew) {
-            groups.push_back({ {}, &backend, true });
+            groups.push_back({ {}, &backend, homeCount, true });
         }
         HomeGroup &group = groups[found->second];
         group.backends.push_back(&backend);
@@ -135,7 +137,7 @@
         }
         current = found == homes_.end() ? current : &found->second;
     }
-    const bool isComplete = current != nullptr && current->size() == HomesPerBackend
+    const bool isComplete = current != nullptr && current->size() == group.homeCount
         && std::all_of(current->begin(), current->end(), [this, now](const VmId &vm) { return isAvailable(now, vm); });
     return isComplete ? *current : std::vector<VmId> {};
 }
@@ -176,7 +178,7 @@
         }
     }
     for (const HomeGroup &group : unassigned) {
-        const std::vector<VmId> homes = chooseHomes(now, *group.anchor, group.isShared, holders, byZone, homeCounts);
+        const std::vector<VmId> homes = chooseHomes(now, group, holders, byZone, homeCounts);
         if (!homes.empty()) {
             assign(group, homes);
         }
--- a/unittests/supervision/sharedhomestest.cpp
+++ b/unittests/supervision/sharedhomestest.cpp
@@ -20,11 +20,11 @@
     std::map<std::string, std::map<BackendId, std::uint32_t>> held;
     std::set<std::string> entries;
 
-    void configure(std::uint64_t version, std::uint32_t syncReplicas)
+    void configure(std::uint64_t version, std::uint32_t syncReplicas, std::uint32_t maxConnections = 16)
     {
         RouteConfiguration configuration;
         configuration.version = version;
-        configuration.services.push_back({ ServiceId { "s" }, 16, syncReplicas });
+        configuration.services.push_back({ ServiceId { "s" }, maxConnections, syncReplicas });
         state.apply(++index, PutConfiguration { configuration, "" });
     }
 
@@ -191,6 +191,19 @@
     CHECK_EQUAL(HomesPerBackend, sharedHomes().size());
 }
 
+// Half of a single connection would be none, and nothing would be served.
+TEST(SharedHomes, SingleConnectionBelongsToOneHome)
+{
+    configure(2, 1, 3);
+    addEntries(8);
+    advance(6s);
+    const std::vector<VmId> homes = sharedHomes();
+    CHECK_EQUAL(1U, homes.size());
+    for (const auto &[backend, record] : state.backends()) {
+        CHECK_EQUAL(1U, held[homes.front().value][backend]);
+    }
+}
+
 // Entries that report to a new leader keep the homes that they have.
 TEST(SharedHomes, NewLeaderKeepsThem)
 {
