--- a/tools/daisyrelay-soak/main.cpp
+++ b/tools/daisyrelay-soak/main.cpp
@@ -12,10 +12,11 @@
 DEFINE_uint64(seed, 1, "The first seed");
 DEFINE_uint64(runs, 1, "Number of consecutive seeds to run");
 DEFINE_uint64(seconds, 20, "Duration of the faults in each run, in seconds");
-DEFINE_uint64(entries, 4, "Entries");
+DEFINE_uint64(entries, 0, "Entries; 0 for 4, or 8 where commits wait for a replica");
 DEFINE_uint64(controls, 3, "Number of control VMs");
 DEFINE_uint64(callers, 0,
-    "Callers; 0 for 12, 32 with outages, or 48 with rolls, where drains must not end early for want of sessions");
+    "Callers; 0 for 12, 32 with outages or receipts, or 48 with rolls, where drains must not end early for want of "
+    "sessions");
 DEFINE_string(
     positions, "", "What new primaries report with outages: 'received' or 'applied' positions; by the seed if empty");
 DEFINE_bool(trace, true, "Let entries log what each read relies on; builds without this setting reject it");
@@ -24,14 +25,15 @@
 DEFINE_bool(halfway, false, "Return half of the processes to the previous build before all are replaced");
 DEFINE_string(plan, "faults",
     "What is played: 'faults', 'rolls' (planned work only: rolling restarts of entries, reloads, configurations), "
-    "'both' or 'outage' (all primaries are lost at once, then many processes)");
+    "'both', 'outage' (all primaries are lost at once, then many processes) or 'receipts' (commits wait for a replica; "
+    "homes hold the connections of 8 entries)");
 DEFINE_string(only, "", "Inject only this kind of fault");
 
 static std::optional<daisyrelay::soak::SoakPlan> parsePlan(const std::string &name)
 {
     using daisyrelay::soak::SoakPlan;
     static const std::map<std::string, SoakPlan> Plans { { "faults", SoakPlan::Faults }, { "rolls", SoakPlan::Rolls },
-        { "both", SoakPlan::Both }, { "outage", SoakPlan::Outage } };
+        { "both", SoakPlan::Both }, { "outage", SoakPlan::Outage }, { "receipts", SoakPlan::Receipts } };
     const auto found = Plans.find(name);
     return found == Plans.end() ? std::nullopt : std::optional(found->second);
 }
@@ -42,12 +44,19 @@
     options.seed = seed;
     options.plan = *parsePlan(FLAGS_plan);
     options.faultDuration = std::chrono::seconds(FLAGS_seconds);
-    options.size.entries = FLAGS_entries;
     options.size.controls = FLAGS_controls;
     constexpr std::size_t CallersWithRolls = 48;
     constexpr std::size_t CallersWithOutage = 32;
+    constexpr std::size_t CallersWithReceipts = 32;
     using daisyrelay::soak::SoakPlan;
-    if (options.plan == SoakPlan::Outage) {
+    constexpr std::size_t EntriesWithReceipts = 8;
+    if (options.plan == SoakPlan::Receipts) {
+        options.size.entries = EntriesWithReceipts;
+    }
+    options.size.entries = FLAGS_entries == 0 ? options.size.entries : FLAGS_entries;
+    if (options.plan == SoakPlan::Receipts) {
+        options.size.callers = CallersWithReceipts;
+    } else if (options.plan == SoakPlan::Outage) {
         options.size.callers = CallersWithOutage;
         options.size.spareControls = 1;
         options.size.hasEntryLinks = true;
@@ -87,11 +96,10 @@
     constexpr int ExitBadUsage = 2;
     gflags::SetUsageMessage("daisyrelay-soak --node PROGRAM --folder FOLDER [--seed N] [--runs N] [--seconds N]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_node.empty() || FLAGS_folder.empty() || FLAGS_entries == 0 || FLAGS_controls == 0
-        || !parsePlan(FLAGS_plan)
+    if (FLAGS_node.empty() || FLAGS_folder.empty() || FLAGS_controls == 0 || !parsePlan(FLAGS_plan)
         || (!FLAGS_positions.empty() && FLAGS_positions != "received" && FLAGS_positions != "applied")) {
-        std::cerr << "daisyrelay-soak: --node and --folder are required, --entries and --controls must be above 0, "
-                     "--plan must be faults, rolls, both or outage, --positions received or applied\n";
+        std::cerr << "daisyrelay-soak: --node and --folder are required, --controls must be above 0, --plan must be "
+                     "faults, rolls, both, outage or receipts, --positions received or applied\n";
         return ExitBadUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
--- a/unittests/forgottenpause/forgottenpausetest.cpp
+++ b/unittests/forgottenpause/forgottenpausetest.cpp
@@ -6,21 +6,22 @@
 using namespace daisyrelay;
 using namespace std::chrono_literals;
 
-TEST_GROUP(ForgottenPause) {
-    /// Plays 100 schedules with \p faults for \p duration each, in which no commit may be lost. \returns the number of
-    /// promotions.
-    static std::size_t play(ReplicationFaults faults, Duration duration = 8s) { std::size_t promotions = 0;
-for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-    ReplicationSimulation simulation(3, seed, faults);
-    simulation.run(8s);
-    CHECK_EQUAL(std::string(), simulation.violation);
-    CHECK(simulation.acknowledgedCommits > 0);
-    promotions += simulation.promotionCount;
-}
-return promotions;
-}
+TEST_GROUP(ForgottenPause) {};
+
+/// Plays 100 schedules with \p faults for \p duration each, in which no commit may be lost. \returns the number of
+/// promotions.
+static std::size_t play(ReplicationFaults faults, Duration duration = 8s)
+{
+    std::size_t promotions = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        ReplicationSimulation simulation(3, seed, faults);
+        simulation.run(duration);
+        CHECK_EQUAL(std::string(), simulation.violation);
+        CHECK(simulation.acknowledgedCommits > 0);
+        promotions += simulation.promotionCount;
+    }
+    return promotions;
 }
-;
 
 // Guards against a promotion that loses a commit which a restarted replica has acknowledged after the survey.
 TEST(ForgottenPause, PromotedServerHoldsEveryAcknowledgedCommit)
--- a/unittests/soak/consistencycheckertest.cpp
+++ b/unittests/soak/consistencycheckertest.cpp
@@ -113,6 +113,23 @@
     checkNoViolation();
 }
 
+TEST(ConsistencyChecker, DetectsAcknowledgedCommitThatAPromotionDiscards)
+{
+    write("w", 1);
+    checker.recordTruncation("s", 0, true);
+    checkViolation("LOST");
+}
+
+TEST(ConsistencyChecker, DetectsCommitThatIsAcknowledgedAfterAPromotionHasDiscardedIt)
+{
+    send("w", Effect::Write);
+    checker.recordRun("s", makeRun("w", 1));
+    checker.recordCommit("s", 1, "w", { "w" });
+    checker.recordTruncation("s", 0, true);
+    checker.recordSuccess(now, "w", "signature of w", "");
+    checkViolation("LOST");
+}
+
 TEST(ConsistencyChecker, DetectsWriteThatTakesEffectTwice)
 {
     write("w", 1);
--- a/unittests/soak/faultscheduletest.cpp
+++ b/unittests/soak/faultscheduletest.cpp
@@ -44,5 +44,10 @@
             CHECK(!faultKindName(fault.kind).empty());
         }
     }
+    CHECK_EQUAL(static_cast<std::size_t>(FaultKind::LeaveReplica), kinds.size());
+    for (const Fault &fault : generateReplicaFaults(1, 60s)) {
+        kinds.insert(fault.kind);
+        CHECK(!faultKindName(fault.kind).empty());
+    }
     CHECK_EQUAL(static_cast<std::size_t>(FaultKind::Last), kinds.size());
 }
