--- a/unittests/supervision/replicationentries.cpp
+++ b/unittests/supervision/replicationentries.cpp
@@ -119,8 +119,7 @@
             if (!entry.writesTo(name)) {
                 return;
             }
-            const bool isWaived = waivesReceiptsWithoutReplicas && !entry.mayAskReplicas();
-            if (requiresReceipts && !isWaived) {
+            if (requiresReceipts) {
                 constexpr Duration StatementTimeout = 800ms;
                 entry.onCommit(commit, point);
                 schedule(StatementTimeout, [&entry, commit]() { entry.giveUp(commit); });
--- a/unittests/supervision/replicationentry.cpp
+++ b/unittests/supervision/replicationentry.cpp
@@ -99,13 +99,6 @@
     return !isWithdrawn_ && server == primary_ && quota != quotas_.end() && quota->second > 0;
 }
 
-bool ReplicationEntry::mayAskReplicas() const
-{
-    return std::any_of(quotas_.begin(), quotas_.end(), [this](const auto &quota) {
-        return quota.first != primary_ && servers_.contains(quota.first) && quota.second > 0;
-    });
-}
-
 bool ReplicationEntry::awaitsReceipts() const
 {
     return !receipts_.isEmpty();
--- a/unittests/supervision/replicationentry.h
+++ b/unittests/supervision/replicationentry.h
@@ -45,8 +45,6 @@
     /// Tells whether the entry sends writes to \p server.
     [[nodiscard]] bool writesTo(const std::string &server) const;
     [[nodiscard]] bool awaitsReceipts() const;
-    /// Tells whether the entry may have connections to a replica.
-    [[nodiscard]] bool mayAskReplicas() const;
 
     const int zone;
     bool reachesControl = true;
--- a/unittests/supervision/replicationsimulation.h
+++ b/unittests/supervision/replicationsimulation.h
@@ -37,7 +37,6 @@
     void run(Duration duration);
 
     bool requiresReceipts = true; ///< Whether entries obey CommitReceipts.
-    bool waivesReceiptsWithoutReplicas = false; ///< Entries without connections to replicas require no receipt.
     std::string violation;
     std::size_t promotionCount = 0;
     std::size_t acknowledgedCommits = 0;
